--- /dev/null
+++ b/core/catalogue_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/catalogue_change.h"
+#include "core/catalogue_entry.h"
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+
+namespace lagoondeck {
+
+/// Reads and checks one catalogue entry in JSON with comments.
+/// Fails with MalformedInput, or with InvalidInput that names every wrong field.
+boost::leaf::result<CatalogueEntry> parseCatalogueEntry(std::string_view text);
+
+/// Writes an entry as JSON that parseCatalogueEntry reads.
+std::string writeCatalogueEntry(const CatalogueEntry &entry);
+
+/// Reads one change of the catalogue's history. Fails like parseCatalogueEntry.
+boost::leaf::result<CatalogueChange> parseCatalogueChange(std::string_view text);
+
+/// Writes one change as JSON that parseCatalogueChange reads.
+std::string writeCatalogueChange(const CatalogueChange &change);
+
+} // namespace lagoondeck
--- /dev/null
+++ b/core/field_reader.cpp
@@ -0,0 +1,145 @@
+#include "core/field_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lagoondeck {
+
+FieldReader::FieldReader(const nlohmann::json &object, std::vector<FieldProblem> &problems,
+                         std::string prefix)
+    : object(object), problems(problems), prefix(std::move(prefix)), usable(object.is_object())
+{
+    if (!this->usable) {
+        this->note("", FieldProblemKind::WrongType, "an object is expected");
+    }
+}
+
+void FieldReader::note(std::string_view name, FieldProblemKind kind, std::string detail)
+{
+    std::string path = this->prefix + std::string(name);
+    if (!path.empty() && path.back() == '.') {
+        path.pop_back();
+    }
+    this->problems.push_back({std::move(path), kind, std::move(detail)});
+}
+
+const nlohmann::json *FieldReader::find(const char *name)
+{
+    this->known.emplace_back(name);
+    if (!this->usable) {
+        return nullptr;
+    }
+    const auto found = this->object.find(name);
+    return found == this->object.end() ? nullptr : &*found;
+}
+
+void FieldReader::require(std::initializer_list<const char *> names)
+{
+    for (const char *name : names) {
+        if (this->usable && !this->object.contains(name)) {
+            this->note(name, FieldProblemKind::Missing, "the field is required");
+        }
+    }
+}
+
+void FieldReader::refuseUnknown()
+{
+    if (!this->usable) {
+        return;
+    }
+    for (const auto &[name, value] : this->object.items()) {
+        if (std::ranges::find(this->known, name) == this->known.end()) {
+            this->note(name, FieldProblemKind::UnknownField, "no such field");
+        }
+    }
+}
+
+void FieldReader::read(const char *name, std::string &value)
+{
+    const nlohmann::json *field = this->find(name);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_string()) {
+        this->note(name, FieldProblemKind::WrongType, "a string is expected");
+        return;
+    }
+    value = field->get<std::string>();
+}
+
+void FieldReader::read(const char *name, bool &value)
+{
+    const nlohmann::json *field = this->find(name);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_boolean()) {
+        this->note(name, FieldProblemKind::WrongType, "true or false is expected");
+        return;
+    }
+    value = field->get<bool>();
+}
+
+void FieldReader::read(const char *name, double &value, double lowest, double highest)
+{
+    const nlohmann::json *field = this->find(name);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_number()) {
+        this->note(name, FieldProblemKind::WrongType, "a number is expected");
+        return;
+    }
+    const auto number = field->get<double>();
+    if (!std::isfinite(number) || number < lowest || number > highest) {
+        this->note(name, FieldProblemKind::OutOfRange,
+                   "expected " + std::to_string(lowest) + " to " + std::to_string(highest));
+        return;
+    }
+    value = number;
+}
+
+template <typename Number>
+void FieldReader::readWhole(const char *name, Number &value, Number lowest, Number highest)
+{
+    const nlohmann::json *field = this->find(name);
+    if (field == nullptr) {
+        return;
+    }
+    if (!field->is_number_integer()) {
+        this->note(name, FieldProblemKind::WrongType, "a whole number is expected");
+        return;
+    }
+    const bool negative = !field->is_number_unsigned() && field->get<std::int64_t>() < 0;
+    if (negative || field->get<std::uint64_t>() < lowest || field->get<std::uint64_t>() > highest) {
+        this->note(name, FieldProblemKind::OutOfRange,
+                   "expected " + std::to_string(lowest) + " to " + std::to_string(highest));
+        return;
+    }
+    value = field->get<Number>();
+}
+
+void FieldReader::read(const char *name, std::uint32_t &value, std::uint32_t lowest,
+                       std::uint32_t highest)
+{
+    this->readWhole(name, value, lowest, highest);
+}
+
+void FieldReader::read(const char *name, std::uint64_t &value, std::uint64_t lowest,
+                       std::uint64_t highest)
+{
+    this->readWhole(name, value, lowest, highest);
+}
+
+void FieldReader::readMilliseconds(const char *name, Duration &value, Duration lowest,
+                                   Duration highest)
+{
+    double milliseconds = toFractionalMilliseconds(value);
+    this->read(name, milliseconds, toFractionalMilliseconds(lowest),
+               toFractionalMilliseconds(highest));
+    value = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/core/instance_list_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/instance_list.h"
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+
+namespace lagoondeck {
+
+/// Reads the body of the platform's instance list. Fails with MalformedInput or InvalidInput.
+boost::leaf::result<InstanceList> parseInstanceList(std::string_view text);
+
+/// Writes an instance list as the platform does.
+std::string writeInstanceList(const InstanceList &list);
+
+} // namespace lagoondeck
--- /dev/null
+++ b/core/json_input.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace lagoondeck {
+
+/// Parses JSON with comments. Fails with MalformedInput.
+boost::leaf::result<nlohmann::json> parseJson(std::string_view text);
+
+/// Reads a file as JSON with comments. Fails with FileUnreadable or MalformedInput.
+boost::leaf::result<nlohmann::json> readJsonFile(const std::string &path);
+
+} // namespace lagoondeck
--- /dev/null
+++ b/core/log_event.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace lagoondeck {
+
+/// How much a log event matters.
+enum class LogSeverity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// The numbered log events. A number is never used again for another event.
+enum class LogEvent {
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    StopBoundPassed = 103,
+    InvariantViolated = 110,
+    SettingsRefused = 120,
+    CatalogueRevised = 200,
+    CatalogueWentBack = 201,
+    CatalogueEntryRefused = 202,
+    StoreUnavailable = 210,
+    StoreAvailable = 211,
+    InstanceListUnavailable = 220,
+    InstanceListAvailable = 221,
+    TargetSeen = 300,
+    TargetLeaving = 301,
+    TargetGone = 302,
+    TargetOnProbation = 303,
+    TargetReturned = 304,
+    ConnectionRefused = 310,
+    ReplyUnmatched = 320,
+    ReplyMalformed = 321,
+    SnapshotAdopted = 330,
+    QueryRestarted = 331,
+    RequestQuarantined = 340,
+    MemberJoined = 400,
+    MemberSuspected = 401,
+    MemberLost = 402,
+    MemberLeaving = 403,
+    MemberRefuted = 404,
+    PeerMessageRefused = 410,
+    PauseNoticed = 420,
+    ClaimResolved = 500,
+    ClaimUncertain = 501,
+};
+
+/// What the catalogue of log events tells of one event.
+struct LogEventInfo
+{
+    LogEvent event;
+    std::string_view name;
+    LogSeverity severity;
+    std::string_view meaning;
+};
+
+/// All events, in the order of their numbers.
+std::span<const LogEventInfo> logEvents();
+
+/// What is known of one event.
+const LogEventInfo &logEventInfo(LogEvent event);
+
+} // namespace lagoondeck
--- /dev/null
+++ b/main/lagoondeckd_main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/standins/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace lagoondeck { }
