Add stand-ins for targets, the key-value service and the instance list

The other parts need the platform's other side to run against. Each stand-in is one thread with a poll loop: serving a sub-request is a timer, so a hundred targets cost no threads. Targets record what ran by caller, request id and shard; all of it can be changed while running over a control port.

--- /dev/null
+++ b/main/lagoondeck_standin_main.cpp
@@ -0,0 +1,174 @@
+#include "core/errors.h"
+#include "standins/event_loop.h"
+#include "standins/instance_service.h"
+#include "standins/store_service.h"
+#include "standins/target_fleet.h"
+#include "standins/topology.h"
+
+#include <Poco/Exception.h>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <getopt.h>
+#include <iostream>
+#include <string>
+
+using namespace lagoondeck;
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitCannotServe = 1;
+
+constexpr const char *usage = R"(Usage: lagoondeck-standin targets|store|instances [OPTION]...
+Takes the platform's place in tests and measurements.
+
+  targets     all targets of a topology, each on its own port
+  store       a key-value service of etcd's kind
+  instances   the list of live and leaving instances
+
+  -t, --topology FILE    services and targets, JSON with comments (targets, instances)
+  -a, --address IP:PORT  where to serve (store, instances); port 0 takes a free one
+  -c, --control IP:PORT  where to be controlled (targets, store)
+  -h, --help             show this text
+  -V, --version          show the version
+
+Exit codes: 0 stopped by a signal, 1 cannot serve, 2 wrong options or topology.
+docs/STANDINS.md tells the control calls.
+)";
+
+struct Options
+{
+    std::string kind;
+    std::string topologyFile;
+    std::string address = "127.0.0.1:0";
+    std::string control;
+};
+
+EventLoop *signalledLoop = nullptr;
+
+void onSignal(int)
+{
+    signalledLoop->stop();
+}
+
+Options readOptions(int argc, char **argv)
+{
+    constexpr option longOptions[] = {{"topology", required_argument, nullptr, 't'},
+                                      {"address", required_argument, nullptr, 'a'},
+                                      {"control", required_argument, nullptr, 'c'},
+                                      {"help", no_argument, nullptr, 'h'},
+                                      {"version", no_argument, nullptr, 'V'},
+                                      {}};
+    Options options;
+    for (int found = 0;
+         (found = getopt_long(argc, argv, "t:a:c:hV", longOptions, nullptr)) != -1;) {
+        switch (found) {
+        case 't':
+            options.topologyFile = optarg;
+            break;
+        case 'a':
+            options.address = optarg;
+            break;
+        case 'c':
+            options.control = optarg;
+            break;
+        case 'h':
+            std::cout << usage;
+            std::exit(0);
+        case 'V':
+            std::cout << "lagoondeck-standin " << LAGOONDECK_VERSION << "\n";
+            std::exit(0);
+        default:
+            std::cerr << usage;
+            std::exit(exitUsage);
+        }
+    }
+    options.kind = optind < argc ? argv[optind] : "";
+    return options;
+}
+
+[[noreturn]] void refuse(const std::string &why)
+{
+    std::cerr << "lagoondeck-standin: " << why << "\n";
+    std::exit(exitUsage);
+}
+
+Topology loadTopology(const std::string &path)
+{
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<Topology> { return readTopologyFile(path); },
+            [&](const FileUnreadable &) -> Topology { refuse(path + ": cannot be read"); },
+            [&](const MalformedInput &error) -> Topology { refuse(path + ": " + error.detail); },
+            [&](const InvalidInput &error) -> Topology {
+                for (const FieldProblem &problem : error.problems) {
+                    std::cerr << path << ": " << problem.path << ": " << toString(problem.kind)
+                              << ": " << problem.detail << "\n";
+                }
+                std::exit(exitUsage);
+            },
+            [&]() -> Topology { refuse(path + ": cannot be used"); });
+}
+
+void runTargets(EventLoop &loop, const Options &options)
+{
+    Topology topology = loadTopology(options.topologyFile);
+    if (!options.control.empty()) {
+        topology.controlAddress = options.control;
+    }
+    TargetFleet fleet(loop, std::move(topology));
+    fleet.start();
+    std::cout << "control " << fleet.controlAddress() << std::endl;
+    loop.run();
+}
+
+void runStore(EventLoop &loop, const Options &options)
+{
+    StoreService store(loop, options.address,
+                       options.control.empty() ? "127.0.0.1:0" : options.control);
+    store.start();
+    std::cout << "serving " << store.boundAddress() << "\ncontrol " << store.controlAddress()
+              << std::endl;
+    loop.run();
+}
+
+void runInstances(EventLoop &loop, const Options &options)
+{
+    InstanceList list;
+    if (!options.topologyFile.empty()) {
+        list.targets = listTargets(loadTopology(options.topologyFile));
+    }
+    InstanceService instances(loop, options.address, std::move(list));
+    instances.start();
+    std::cout << "serving " << instances.boundAddress() << std::endl;
+    loop.run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = readOptions(argc, argv);
+    EventLoop loop;
+    signalledLoop = &loop;
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        if (options.kind == "targets") {
+            runTargets(loop, options);
+        } else if (options.kind == "store") {
+            runStore(loop, options);
+        } else if (options.kind == "instances") {
+            runInstances(loop, options);
+        } else {
+            std::cerr << usage;
+            return exitUsage;
+        }
+    } catch (const Poco::Exception &error) {
+        std::cerr << "lagoondeck-standin: " << error.displayText() << "\n";
+        return exitCannotServe;
+    }
+    return 0;
+}
--- /dev/null
+++ b/standins/load_report.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+namespace lagoondeck {
+
+/// The number of sub-requests in flight as a target reports it: late, and scaled when told to
+/// mislead.
+class LoadReport
+{
+public:
+    void set(Duration lag, double scale);
+    void record(Instant now, std::uint32_t inFlight);
+    std::uint32_t reported(Instant now);
+
+private:
+    void forget(Instant now);
+
+    Duration lag {};
+    double scale = 1.0;
+    /// The last value that is old enough to be told, then the newer ones.
+    std::deque<std::pair<Instant, std::uint32_t>> history;
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/standins/target.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/instance_list.h"
+#include "core/time.h"
+#include "standins/http_server.h"
+#include "standins/load_report.h"
+#include "standins/run_ledger.h"
+#include "standins/target_counts.h"
+#include "standins/topology.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace lagoondeck {
+
+/// A stand-in target: one shard of one service on its own port. Serving a sub-request is a timer,
+/// not work, so that many targets fit into one thread.
+class Target
+{
+public:
+    Target(EventLoop &loop, const ServiceTopology &service, TargetInstance instance,
+           RunLedger &ledger, std::uint64_t seed);
+
+    void start();
+
+    void setSlowdown(double factor) { this->slowdown = factor; }
+    void setShedding(bool shedding) { this->shedding = shedding; }
+    /// Refuses new work and tells so; what was taken is finished.
+    void setLeaving(bool leaving);
+    /// Closes the port and all connections; serves again, cold, after the time, or when revived.
+    void crash(std::optional<Duration> downTime);
+    void revive();
+    /// A body that contains the text crashes the target when it begins to run.
+    void setPoison(std::string text, Duration downTime);
+    /// Announces an index version, when the shard exists in it.
+    void adoptVersion(std::uint64_t version, std::uint32_t shardCount);
+    /// Retires the versions below the given one.
+    void retireBelow(std::uint64_t version);
+
+    LoadReport &report() { return this->loadReport; }
+    const TargetInstance &instance() const { return this->self; }
+    TargetCounts &counts() { return this->ownCounts; }
+
+private:
+    struct Job
+    {
+        std::uint64_t connection = 0;
+        std::string attempt;
+        std::string requestId;
+        std::string caller;
+        std::uint64_t version = 0;
+        bool idempotent = true;
+        bool poisoned = false;
+        std::optional<Instant> deadline;
+        Instant startedAt {};
+        std::optional<EventLoop::TimerId> timer;
+    };
+    using Jobs = std::list<Job>;
+
+    void onAccepted(HttpConnection &connection);
+    void onClosed(HttpConnection &connection);
+    void onRequest(HttpConnection &connection, const HttpMessage &message);
+    void onQuery(HttpConnection &connection, const HttpMessage &message);
+    void onCancel(const std::string &attempt);
+    Job readJob(const HttpConnection &connection, const HttpMessage &message) const;
+    void enqueue(Job job);
+    void expireWaiting(Jobs::iterator job);
+    void startWaiting();
+    void run(Jobs::iterator job);
+    void answer(Jobs::iterator job);
+    /// Frees the job's slot and replies.
+    void finish(Jobs::iterator job, int status, HttpHeaders headers, const std::string &body = "");
+    void replyNotRun(const Job &job, int status, const std::string &why);
+    void reply(const Job &job, int status, HttpHeaders headers, const std::string &body);
+    Duration drawServiceTime();
+    HttpHeaders reportHeaders();
+    std::string hitsOf(const Job &job) const;
+    bool isCold() const;
+    void noteLoad();
+    void dropTimer(Job &job);
+
+    EventLoop &loop;
+    const ServiceTopology &service;
+    TargetInstance self;
+    RunLedger &ledger;
+    std::mt19937_64 random;
+    HttpServer server;
+    std::map<std::uint64_t, std::uint32_t> versions;
+    Jobs waiting;
+    Jobs running;
+    LoadReport loadReport;
+    TargetCounts ownCounts;
+    std::uint32_t acceptedConnections = 0;
+    /// Connections past the cap, until they are closed.
+    std::set<std::uint64_t> refused;
+    double slowdown = 1.0;
+    bool shedding = false;
+    std::optional<Instant> leavingSince;
+    Instant coldUntil {};
+    std::string poison;
+    Duration poisonDownTime {};
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/standins/target_counts.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+
+namespace lagoondeck {
+
+/// What one stand-in target did since the last reset.
+struct TargetCounts
+{
+    std::uint64_t received = 0;
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t shed = 0;
+    std::uint64_t refusedLeaving = 0;
+    /// Sub-requests that came long after the target had begun to leave.
+    std::uint64_t receivedLongAfterLeaving = 0;
+    std::uint64_t refusedVersion = 0;
+    std::uint64_t expiredWaiting = 0;
+    std::uint64_t expiredRunning = 0;
+    std::uint64_t cancelledWaiting = 0;
+    std::uint64_t cancelledRunning = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t connectionsRefused = 0;
+    std::uint64_t connectionsAccepted = 0;
+    std::uint64_t mostConnections = 0;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(TargetCounts, received, started, answered, shed, refusedLeaving,
+                                   receivedLongAfterLeaving, refusedVersion, expiredWaiting,
+                                   expiredRunning, cancelledWaiting, cancelledRunning, crashes,
+                                   connectionsRefused, connectionsAccepted, mostConnections)
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/standins/target_fleet.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "standins/event_loop.h"
+#include "standins/http_server.h"
+#include "standins/run_ledger.h"
+#include "standins/target.h"
+#include "standins/topology.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lagoondeck {
+
+/// All stand-in targets of a topology in one process, with a control port.
+/// `POST /v1/control`, `GET /v1/counts`, `GET /v1/ran`, `GET /v1/targets`, `POST /v1/reset`.
+class TargetFleet
+{
+public:
+    TargetFleet(EventLoop &loop, Topology topology);
+
+    void start();
+    const std::string &controlAddress() const { return this->control.boundAddress(); }
+    /// The targets with the addresses they serve at.
+    InstanceList list() const;
+
+private:
+    void onRequest(HttpConnection &connection, const HttpMessage &message);
+    void onControl(HttpConnection &connection, const HttpMessage &message);
+    /// The targets that a command names by "targets", "service" and "fraction".
+    std::vector<Target *> select(const nlohmann::json &command);
+    /// Carries out one command; false when its action is not known.
+    bool apply(const std::string &action, const nlohmann::json &command,
+               const std::vector<Target *> &targets);
+    void rollVersion(const nlohmann::json &command, const std::vector<Target *> &targets);
+    nlohmann::json counts();
+    void reset();
+
+    EventLoop &loop;
+    Topology topology;
+    RunLedger ledger;
+    std::mt19937_64 random;
+    std::vector<std::unique_ptr<Target>> targets;
+    HttpServer control;
+};
+
+} // namespace lagoondeck
