--- /dev/null
+++ b/drivers/instance_list_poller.cpp
@@ -0,0 +1,104 @@
+#include "drivers/instance_list_poller.h"
+
+#include "core/errors.h"
+#include "core/instance_list_codec.h"
+#include "drivers/log_writer.h"
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr Duration callTimeout = std::chrono::seconds(2);
+constexpr int statusOk = 200;
+
+leaf::result<InstanceList> readList(PlatformSession &session)
+{
+    const PlatformRequest request {"GET", "/v1/instances", ""};
+    BOOST_LEAF_AUTO(reply, session.call(request, callTimeout));
+    if (reply.status != statusOk) {
+        return leaf::new_error(
+                CallFailed {session.address(), "status " + std::to_string(reply.status)});
+    }
+    return parseInstanceList(reply.body);
+}
+
+} // namespace
+
+InstanceListPoller::InstanceListPoller(const std::string &address, Duration interval, Sink sink)
+    : session(address), interval(interval), sink(std::move(sink))
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+InstanceListPoller::~InstanceListPoller()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->session.interrupt();
+    this->thread.join();
+}
+
+void InstanceListPoller::run()
+{
+    do {
+        this->poll();
+    } while (this->waitForNextPoll());
+}
+
+/// False when the poller stops.
+bool InstanceListPoller::waitForNextPoll()
+{
+    std::unique_lock lock(this->mutex);
+    return !this->wake.wait_for(lock, this->interval, [this] { return this->stopping; });
+}
+
+void InstanceListPoller::poll()
+{
+    ++this->callCount;
+    leaf::try_handle_all(
+            [this]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(list, readList(this->session));
+                this->noteAvailable(true, "");
+                if (this->last != list) {
+                    this->last = list;
+                    this->sink(InstancesListed {std::move(list)});
+                }
+                return {};
+            },
+            [this](const CallFailed &failure) { this->noteAvailable(false, failure.detail); },
+            [this](const MalformedInput &input) { this->noteAvailable(false, input.detail); },
+            [this](const InvalidInput &input) {
+                const FieldProblem &first = input.problems.front();
+                this->noteAvailable(false, first.path + ": " + first.detail);
+            },
+            [this] { this->noteAvailable(false, "unknown failure"); });
+}
+
+void InstanceListPoller::noteAvailable(bool nowAvailable, const std::string &detail)
+{
+    if (this->available == nowAvailable) {
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    this->available = nowAvailable;
+    if (this->stopping) {
+        return;
+    }
+    if (nowAvailable) {
+        writeLog({LogEvent::InstanceListAvailable, {{"address", this->session.address()}}});
+    } else {
+        writeLog({LogEvent::InstanceListUnavailable,
+                  {{"address", this->session.address()}, {"detail", detail}}});
+    }
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/drivers/platform_session.cpp
@@ -0,0 +1,241 @@
+#include "drivers/platform_session.h"
+
+#include "core/errors.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <boost/leaf/error.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+/// A longer reply or line is refused, so that a faulty service can't exhaust the memory.
+constexpr std::size_t maximumReplyBytes = 64 * 1024 * 1024;
+constexpr std::size_t readBufferBytes = 16 * 1024;
+/// A connection idle for longer may have been forgotten by the service.
+constexpr int keepAliveSeconds = 3600;
+/// Probes by which a waiting stream learns that its service is gone.
+constexpr int probeIdleSeconds = 3;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 3;
+
+Poco::Timespan toTimespan(Duration duration)
+{
+    return {0, std::max<Poco::Timespan::TimeDiff>(duration.count(), 1000)};
+}
+
+} // namespace
+
+/// A client session that never sends again by itself and knows whether any byte left.
+class PlatformConnection : public Poco::Net::HTTPClientSession
+{
+public:
+    PlatformConnection(const Poco::Net::SocketAddress &address,
+                       const Poco::Net::StreamSocket &socket)
+        : Poco::Net::HTTPClientSession(address)
+    {
+        this->attachSocket(socket);
+        this->setKeepAlive(true);
+        this->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    }
+
+    void beginRequest() { this->wrote = false; }
+    bool wroteBytes() const { return this->wrote; }
+
+    /// An idle connection has nothing to read, unless its end has closed it.
+    bool isStale()
+    {
+        return this->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+
+    Poco::Net::HTTPResponse response;
+
+protected:
+    int write(const char *buffer, std::streamsize length) override
+    {
+        const int count = Poco::Net::HTTPSession::write(buffer, length);
+        this->wrote = this->wrote || count > 0;
+        return count;
+    }
+
+private:
+    bool wrote = false;
+};
+
+namespace {
+
+/// Reads a whole body; empty when it is longer than allowed or shorter than announced.
+std::optional<std::string> readBody(std::istream &stream, std::streamsize announced)
+{
+    std::string body;
+    std::array<char, readBufferBytes> buffer;
+    std::streamsize count = 0;
+    while ((count = stream.rdbuf()->sgetn(buffer.data(), buffer.size())) > 0) {
+        body.append(buffer.data(), static_cast<std::size_t>(count));
+        if (body.size() > maximumReplyBytes) {
+            return std::nullopt;
+        }
+    }
+    const bool cut = announced >= 0 && body.size() != static_cast<std::size_t>(announced);
+    return cut ? std::nullopt : std::optional(std::move(body));
+}
+
+/// Reads up to the end of a line; empty at the end of the stream.
+std::optional<std::string> readLine(std::streambuf &buffer)
+{
+    std::string line;
+    for (int c = buffer.sbumpc(); c != std::char_traits<char>::eof(); c = buffer.sbumpc()) {
+        if (c == '\n') {
+            return line;
+        }
+        line.push_back(static_cast<char>(c));
+        if (line.size() > maximumReplyBytes) {
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+void setSocketOptions(Poco::Net::StreamSocket &socket)
+{
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+}
+
+} // namespace
+
+PlatformSession::PlatformSession(std::string address) : peer(std::move(address)) { }
+
+PlatformSession::~PlatformSession() = default;
+
+void PlatformSession::interrupt()
+{
+    this->interrupter.interrupt();
+}
+
+void PlatformSession::disconnect()
+{
+    this->interrupter.disarm();
+    this->connection.reset();
+}
+
+/// Notes why a call failed and drops the connection, which may hold the rest of a reply.
+leaf::error_id PlatformSession::failed(const std::string &detail)
+{
+    const bool mayHaveTakenEffect = this->connection != nullptr && this->connection->wroteBytes();
+    this->disconnect();
+    return leaf::new_error(CallFailed {this->peer, detail, mayHaveTakenEffect});
+}
+
+leaf::result<void> PlatformSession::connect(Duration timeout)
+{
+    if (this->interrupter.interrupted()) {
+        return this->failed("the session was ended");
+    }
+    try {
+        if (this->connection != nullptr && this->connection->isStale()) {
+            this->disconnect();
+        }
+        if (this->connection == nullptr) {
+            const Poco::Net::SocketAddress address(this->peer);
+            Poco::Net::StreamSocket socket;
+            socket.connect(address, toTimespan(timeout));
+            setSocketOptions(socket);
+            this->connection = std::make_unique<PlatformConnection>(address, socket);
+            if (!this->interrupter.arm(socket.impl()->sockfd())) {
+                return this->failed("the session was ended");
+            }
+        }
+        this->connection->beginRequest();
+        return {};
+    } catch (const Poco::Exception &error) {
+        this->disconnect();
+        return this->failed(error.displayText());
+    }
+}
+
+std::istream &PlatformSession::send(const PlatformRequest &request, int &status)
+{
+    Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setKeepAlive(true);
+    if (request.method != "GET") {
+        head.setContentType("application/json");
+        head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    }
+    std::ostream &out = this->connection->sendRequest(head);
+    out << request.body << std::flush;
+    if (!out.good()) {
+        throw Poco::IOException("the request could not be sent");
+    }
+    this->connection->response.clear();
+    std::istream &in = this->connection->receiveResponse(this->connection->response);
+    status = this->connection->response.getStatus();
+    return in;
+}
+
+leaf::result<PlatformReply> PlatformSession::call(const PlatformRequest &request, Duration timeout)
+{
+    const auto started = std::chrono::steady_clock::now();
+    BOOST_LEAF_CHECK(this->connect(timeout));
+    const auto spent = std::chrono::steady_clock::now() - started;
+    const auto left = std::chrono::duration_cast<Duration>(timeout - spent);
+    try {
+        this->connection->socket().setSendTimeout(toTimespan(left));
+        this->connection->socket().setReceiveTimeout(toTimespan(left));
+        PlatformReply reply;
+        std::istream &in = this->send(request, reply.status);
+        const Poco::Net::HTTPResponse &response = this->connection->response;
+        auto body = readBody(in, response.hasContentLength() ? response.getContentLength() : -1);
+        if (!body) {
+            return this->failed("the reply was cut off or too long");
+        }
+        reply.body = std::move(*body);
+        if (!response.getKeepAlive()) {
+            this->disconnect();
+        }
+        return reply;
+    } catch (const Poco::Exception &error) {
+        return this->failed(error.displayText());
+    }
+}
+
+leaf::result<void> PlatformSession::stream(const PlatformRequest &request, Duration timeout,
+                                           const std::function<bool(std::string_view)> &onLine)
+{
+    BOOST_LEAF_CHECK(this->connect(timeout));
+    try {
+        this->connection->socket().setSendTimeout(toTimespan(timeout));
+        this->connection->socket().setReceiveTimeout(Poco::Timespan(0));
+        int status = 0;
+        std::istream &in = this->send(request, status);
+        if (status != Poco::Net::HTTPResponse::HTTP_OK) {
+            return this->failed("status " + std::to_string(status));
+        }
+        while (auto line = readLine(*in.rdbuf())) {
+            if (!onLine(*line)) {
+                this->disconnect();
+                return {};
+            }
+        }
+        return this->failed("the stream ended");
+    } catch (const Poco::Exception &error) {
+        return this->failed(error.displayText());
+    }
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/drivers/platform_session.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/time.h"
+#include "drivers/socket_interrupter.h"
+
+#include <boost/leaf/result.hpp>
+#include <functional>
+#include <iosfwd>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lagoondeck {
+
+class PlatformConnection;
+
+/// One HTTP request to a service of the platform or to an entry instance.
+struct PlatformRequest
+{
+    std::string method = "GET";
+    std::string path;
+    std::string body;
+};
+
+struct PlatformReply
+{
+    int status = 0;
+    std::string body;
+};
+
+/// One kept-alive HTTP connection with blocking calls, for one thread at a time.
+/// Calls fail with CallFailed, which tells truly whether the request may have taken effect.
+class PlatformSession
+{
+public:
+    /// The address is an IP number and a port.
+    explicit PlatformSession(std::string address);
+    ~PlatformSession();
+
+    PlatformSession(const PlatformSession &) = delete;
+    PlatformSession &operator=(const PlatformSession &) = delete;
+
+    boost::leaf::result<PlatformReply> call(const PlatformRequest &request, Duration timeout);
+
+    /// Gives each line of an endless reply to onLine until it returns false, then succeeds.
+    /// The timeout holds for the connection and the send only.
+    boost::leaf::result<void> stream(const PlatformRequest &request, Duration timeout,
+                                     const std::function<bool(std::string_view)> &onLine);
+
+    /// Ends a call under way and refuses every later one. Any thread may call it.
+    void interrupt();
+
+    const std::string &address() const { return this->peer; }
+
+private:
+    boost::leaf::result<void> connect(Duration timeout);
+    std::istream &send(const PlatformRequest &request, int &status);
+    boost::leaf::error_id failed(const std::string &detail);
+    void disconnect();
+
+    std::string peer;
+    std::unique_ptr<PlatformConnection> connection;
+    SocketInterrupter interrupter;
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/tests/drivers/test_instance_list_poller.cpp
@@ -0,0 +1,59 @@
+#include "drivers/instance_list_poller.h"
+#include "event_collector.h"
+#include "fake_service.h"
+
+#include <catch2/catch.hpp>
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <atomic>
+
+using namespace lagoondeck;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+TEST_CASE("The instance list is given at first and after each change only")
+{
+    std::atomic<int> state = 0;
+    FakeService service([&](HTTPServerRequest &, HTTPServerResponse &response) {
+        const std::string first = R"({"entries":[{"id":"e-0","peerAddress":"127.0.0.1:1"}]})";
+        const std::string second = R"({"entries":[{"id":"e-1","peerAddress":"127.0.0.1:1"}]})";
+        if (state == 1) {
+            reply(response, 500, "");
+        } else {
+            reply(response, 200, state == 0 ? first : state == 2 ? second : "{broken");
+        }
+    });
+    EventCollector events;
+    InstanceListPoller poller(service.address(), std::chrono::milliseconds(2),
+                              [&](EventBody event) { events.add(std::move(event)); });
+    const auto waitForCalls = [&](std::uint64_t more) {
+        const std::uint64_t from = poller.calls();
+        while (poller.calls() < from + more) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    };
+    auto event = events.at(0);
+    REQUIRE(event);
+    CHECK(std::get<InstancesListed>(*event).list.entries.front().id == InstanceId {"e-0"});
+    for (const int failing : {1, 3, 0}) {
+        state = failing;
+        waitForCalls(4);
+        CHECK(events.size() == 1);
+    }
+    state = 2;
+    event = events.at(1);
+    REQUIRE(event);
+    CHECK(std::get<InstancesListed>(*event).list.entries.front().id == InstanceId {"e-1"});
+}
+
+TEST_CASE("A poller of an address that refuses connections gives nothing and stops")
+{
+    EventCollector events;
+    InstanceListPoller poller(refusingAddress(), std::chrono::milliseconds(1),
+                              [&](EventBody event) { events.add(std::move(event)); });
+    while (poller.calls() < 5) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(events.size() == 0);
+}
