Serve a query from end to end: a thin reducer, target driver, caller server and daemon

Cause: the parts stand alone; nothing turns a caller's request into sub-requests. Conclusion: the first whole path, the baseline for what follows.

--- /dev/null
+++ b/drivers/caller_handler.cpp
@@ -0,0 +1,164 @@
+#include "drivers/caller_handler.h"
+
+#include "core/errors.h"
+#include "drivers/caller_codec.h"
+#include "drivers/pending_answers.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
+#include <boost/leaf/handle_errors.hpp>
+#include <optional>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+namespace {
+
+constexpr std::string_view queryPrefix = "/v1/queries/";
+constexpr std::size_t readSize = 16 * 1024;
+constexpr const char *noSuchPage = R"({"reason":"no-such-page"})";
+
+/// Counts a request as active for as long as it lives.
+class ActiveGuard
+{
+public:
+    explicit ActiveGuard(std::atomic<std::uint32_t> &count) : count(count) { ++this->count; }
+    ~ActiveGuard() { --this->count; }
+    ActiveGuard(const ActiveGuard &) = delete;
+    ActiveGuard &operator=(const ActiveGuard &) = delete;
+
+private:
+    std::atomic<std::uint32_t> &count;
+};
+
+/// Reads the body up to a bound; nullopt when it is longer.
+std::optional<std::string> readBody(HTTPServerRequest &request, std::uint64_t bound)
+{
+    if (request.hasContentLength()
+        && static_cast<std::uint64_t>(request.getContentLength64()) > bound) {
+        return std::nullopt;
+    }
+    std::string body;
+    std::string chunk(readSize, '\0');
+    auto &stream = request.stream();
+    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size()))
+           || stream.gcount() > 0) {
+        body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > bound) {
+            return std::nullopt;
+        }
+    }
+    return body;
+}
+
+} // namespace
+
+CallerHandler::CallerHandler(PendingAnswers &pending, const CallerServerHooks &hooks,
+                             std::atomic<std::uint32_t> &active, std::uint64_t maximumBodyBytes)
+    : pending(pending), hooks(hooks), active(active), maximumBodyBytes(maximumBodyBytes)
+{ }
+
+void CallerHandler::handleRequest(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const ActiveGuard guard(this->active);
+    try {
+        this->route(request, response);
+    } catch (const Poco::Exception &) {
+        // The caller went away while it was read or answered; the query itself goes on.
+        response.setKeepAlive(false);
+    }
+}
+
+void CallerHandler::route(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const std::string path = Poco::URI(request.getURI()).getPath();
+    const bool post = request.getMethod() == Poco::Net::HTTPRequest::HTTP_POST;
+    if (post && path.starts_with(queryPrefix)) {
+        this->query(path.substr(queryPrefix.size()), request, response);
+    } else if (post && path == "/v1/drain") {
+        this->drain(response);
+    } else if (path == "/v1/health") {
+        this->reply(response, HTTPResponse::HTTP_OK, "{}");
+    } else if (path == "/v1/ready") {
+        const bool ready = this->hooks.ready();
+        this->reply(response,
+                    ready ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "{}");
+    } else if (path == "/v1/status") {
+        this->reply(response, HTTPResponse::HTTP_OK, this->hooks.statusJson());
+    } else if (path == "/metrics") {
+        this->reply(response, HTTPResponse::HTTP_OK, this->hooks.metricsText(),
+                    "text/plain; version=0.0.4");
+    } else {
+        this->reply(response, HTTPResponse::HTTP_NOT_FOUND, noSuchPage);
+    }
+}
+
+void CallerHandler::query(const std::string &entry, HTTPServerRequest &request,
+                          HTTPServerResponse &response)
+{
+    const auto body = readBody(request, this->maximumBodyBytes);
+    if (!body) {
+        response.setKeepAlive(false);
+        this->reply(response, HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE,
+                    writeBadRequest({{"body", FieldProblemKind::OutOfRange, "too long"}}));
+        return;
+    }
+    leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(parsed, parseCallerRequest(*body));
+                this->runQuery(std::move(parsed), entry, response);
+                return {};
+            },
+            [&](const InvalidInput &invalid) {
+                this->reply(response, HTTPResponse::HTTP_BAD_REQUEST,
+                            writeBadRequest(invalid.problems));
+            },
+            [&](const MalformedInput &malformed) {
+                this->reply(response, HTTPResponse::HTTP_BAD_REQUEST,
+                            writeBadRequest({{"", FieldProblemKind::BadFormat, malformed.detail}}));
+            },
+            [&] { this->reply(response, HTTPResponse::HTTP_BAD_REQUEST, writeBadRequest({})); });
+}
+
+void CallerHandler::runQuery(CallerRequest parsed, const std::string &entry,
+                             HTTPServerResponse &response)
+{
+    PendingAnswers::Ticket ticket = this->pending.open();
+    const RequestId requestId = parsed.requestId;
+    parsed.query = ticket.query;
+    parsed.entry = EntryName(entry);
+    this->hooks.post(std::move(parsed));
+    const Answer answer = ticket.answer.get();
+    if (answer.retryAfter.count() > 0) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.retryAfter);
+        response.set("Retry-After", std::to_string(seconds.count()));
+    }
+    this->reply(response, httpStatusOf(answer), writeAnswer(requestId, answer));
+}
+
+void CallerHandler::drain(HTTPServerResponse &response)
+{
+    this->hooks.post(StopRequested {});
+    this->reply(response, HTTPResponse::HTTP_ACCEPTED, "{}");
+}
+
+void CallerHandler::reply(HTTPServerResponse &response, int status, const std::string &body,
+                          const std::string &type)
+{
+    response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(status));
+    response.setContentType(type);
+    response.setContentLength(static_cast<std::streamsize>(body.size()));
+    if (this->hooks.stopping()) {
+        response.setKeepAlive(false);
+    }
+    response.sendBuffer(body.data(), body.size());
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/drivers/entry_node.cpp
@@ -0,0 +1,225 @@
+#include "drivers/entry_node.h"
+
+#include "core/errors.h"
+#include "drivers/log_writer.h"
+#include "drivers/status_codec.h"
+#include "logic/invariant.h"
+#include "platform/clock.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <boost/leaf/error.hpp>
+#include <utility>
+#include <variant>
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr Duration longestPoll = std::chrono::milliseconds(20);
+constexpr Duration silenceCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration statusInterval = std::chrono::milliseconds(20);
+/// After the last answer is given, its bytes still have to leave.
+constexpr Duration flushBound = std::chrono::seconds(2);
+
+} // namespace
+
+EntryNode::EntryNode(Settings settings)
+    : settings(std::move(settings)), reducer(this->settings, Policy::of(this->settings.policy)),
+      targets(this->pollSet, this->settings.id,
+              [this](EventBody body) { this->pending.push_back(std::move(body)); })
+{ }
+
+EntryNode::~EntryNode() = default;
+
+CallerServerHooks EntryNode::makeHooks()
+{
+    CallerServerHooks hooks;
+    hooks.post = [this](EventBody body) { this->inbox.post(std::move(body)); };
+    hooks.ready = [this] { return this->ready.load(); };
+    hooks.stopping = [this] { return this->stopping.load(); };
+    hooks.statusJson = [this] {
+        const std::lock_guard lock(this->statusMutex);
+        return this->statusText;
+    };
+    hooks.metricsText = [] { return std::string(); };
+    return hooks;
+}
+
+leaf::result<void> EntryNode::startDrivers()
+{
+    const auto post = [this](EventBody body) { this->inbox.post(std::move(body)); };
+    this->pollSet.add(this->inbox.wakeSocket(), Poco::Net::PollSet::POLL_READ);
+    this->peers = std::make_unique<PeerSocket>(this->settings.peerAddress, this->settings.peerKey,
+                                               post, writeLog);
+    BOOST_LEAF_CHECK(this->peers->start());
+    this->store = std::make_unique<StoreClient>(this->settings.storeAddress, post);
+    this->instances = std::make_unique<InstanceListPoller>(
+            this->settings.instanceListAddress, this->settings.instanceListInterval, post);
+    this->publishStatus(monotonicNow());
+    try {
+        this->callers =
+                std::make_unique<CallerServer>(this->settings, this->answers, this->makeHooks());
+    } catch (const Poco::Exception &error) {
+        return leaf::new_error(CallFailed {this->settings.httpAddress, error.displayText(), false});
+    }
+    return {};
+}
+
+leaf::result<RunEnd> EntryNode::run(const std::function<bool()> &stopAsked)
+{
+    BOOST_LEAF_CHECK(this->startDrivers());
+    this->pending.push_back(ProcessStarted {});
+    writeLog({LogEvent::Started,
+              {{"id", this->settings.id.value}, {"http", this->settings.httpAddress}}});
+    try {
+        while (!this->drained(monotonicNow())) {
+            this->turn(stopAsked);
+        }
+    } catch (const InvariantViolation &violation) {
+        writeLog({LogEvent::InvariantViolated, {{"rule", violation.what()}}});
+        return RunEnd::InvariantViolated;
+    }
+    this->callers->stop();
+    this->instances.reset();
+    this->store.reset();
+    this->peers->stop();
+    writeLog({LogEvent::Stopped, {{"id", this->settings.id.value}}});
+    return RunEnd::Graceful;
+}
+
+void EntryNode::turn(const std::function<bool()> &stopAsked)
+{
+    if (!this->stopPosted && stopAsked()) {
+        this->stopPosted = true;
+        this->pending.push_back(StopRequested {});
+    }
+    const Instant now = monotonicNow();
+    this->collectEvents(now);
+    this->applyPending();
+    this->publishStatus(now);
+    this->poll(monotonicNow());
+}
+
+void EntryNode::collectEvents(Instant now)
+{
+    for (const Timer &timer : this->timers.takeDue(now)) {
+        this->pending.push_back(TimerFired {timer});
+    }
+    for (EventBody &body : this->inbox.takeAll()) {
+        this->pending.push_back(std::move(body));
+    }
+    if (now - this->silenceCheckedAt >= silenceCheckInterval) {
+        this->silenceCheckedAt = now;
+        this->targets.closeSilent(now);
+    }
+}
+
+void EntryNode::applyPending()
+{
+    while (!this->pending.empty()) {
+        const Event event {monotonicNow(), wallNow(), std::move(this->pending.front())};
+        this->pending.pop_front();
+        for (Effect &effect : this->reducer.apply(event)) {
+            std::visit([this](auto &body) { this->execute(body); }, effect);
+        }
+    }
+}
+
+void EntryNode::poll(Instant now)
+{
+    Duration wait = this->pending.empty() ? longestPoll : Duration(0);
+    if (const auto next = this->timers.next()) {
+        wait = std::clamp(*next - now, Duration(0), wait);
+    }
+    for (const auto &[socket, mode] : this->pollSet.poll(Poco::Timespan(wait.count()))) {
+        this->targets.onReady(socket, mode, now);
+    }
+}
+
+bool EntryNode::drained(Instant now)
+{
+    if (!this->stopCompletedAt) {
+        return false;
+    }
+    const bool idle = this->callers->active() == 0 && this->answers.waiting() == 0;
+    return idle || now - *this->stopCompletedAt > flushBound;
+}
+
+void EntryNode::publishStatus(Instant now)
+{
+    if (now - this->statusPublishedAt < statusInterval) {
+        return;
+    }
+    this->statusPublishedAt = now;
+    const NodeStatus status = this->reducer.status();
+    this->ready = status.ready;
+    this->stopping = status.stopping;
+    std::string text = writeStatus(status);
+    const std::lock_guard lock(this->statusMutex);
+    this->statusText = std::move(text);
+}
+
+void EntryNode::execute(SendSubRequest &effect)
+{
+    this->targets.send(effect, monotonicNow());
+}
+
+void EntryNode::execute(CancelSubRequest &effect)
+{
+    this->targets.cancel(effect, monotonicNow());
+}
+
+void EntryNode::execute(OpenConnection &effect)
+{
+    this->targets.open(effect, monotonicNow());
+}
+
+void EntryNode::execute(ProbeTarget &effect)
+{
+    this->targets.probe(effect, monotonicNow());
+}
+
+void EntryNode::execute(CloseConnection &effect)
+{
+    this->targets.close(effect);
+}
+
+void EntryNode::execute(AnswerCaller &effect)
+{
+    this->answers.fulfil(effect.query, std::move(effect.answer));
+}
+
+void EntryNode::execute(SendPeerMessage &effect)
+{
+    this->peers->send(effect.address, effect.message);
+}
+
+void EntryNode::execute(StoreOperation &effect)
+{
+    this->store->execute(effect);
+}
+
+void EntryNode::execute(StoreWatchEnd &effect)
+{
+    this->store->endWatch(effect.operation);
+}
+
+void EntryNode::execute(SetTimer &effect)
+{
+    this->timers.set(effect.timer, effect.at);
+}
+
+void EntryNode::execute(WriteLog &effect)
+{
+    writeLog(effect);
+}
+
+void EntryNode::execute(StopCompleted &)
+{
+    this->stopCompletedAt = monotonicNow();
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/drivers/status_codec.cpp
@@ -0,0 +1,34 @@
+#include "drivers/status_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoondeck {
+
+std::string writeStatus(const NodeStatus &status)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const EntryName &entry : status.entries) {
+        entries.push_back(entry.value);
+    }
+    nlohmann::json members = nlohmann::json::array();
+    for (const MemberStatusRow &member : status.members) {
+        members.push_back({{"id", member.id.value},
+                           {"failureDomain", member.failureDomain.value},
+                           {"state", member.state}});
+    }
+    return nlohmann::json {{"id", status.id.value},
+                           {"failureDomain", status.failureDomain.value},
+                           {"ready", status.ready},
+                           {"stopping", status.stopping},
+                           {"catalogueRevision", status.catalogueRevision.value},
+                           {"entries", std::move(entries)},
+                           {"members", std::move(members)},
+                           {"targets", status.targets},
+                           {"targetsLeaving", status.targetsLeaving},
+                           {"connections", status.connections},
+                           {"queriesInFlight", status.queriesInFlight},
+                           {"attemptsInFlight", status.attemptsInFlight}}
+            .dump();
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/admission/admission.cpp
@@ -0,0 +1,51 @@
+#include "logic/admission/admission.h"
+
+#include "logic/context.h"
+#include "logic/events.h"
+
+#include <algorithm>
+
+namespace lagoondeck {
+
+namespace {
+
+constexpr Duration refusalRetryAfter = std::chrono::seconds(1);
+/// A burst of this part of a second of the rate passes at once.
+constexpr double burstSeconds = 0.25;
+
+} // namespace
+
+Admission::Admission(Policy policy) : policy(policy) { }
+
+std::optional<Refusal> Admission::admit(const CallerRequest &, const CatalogueEntry &entry,
+                                        Context &context)
+{
+    EntryLoad &load = this->loads[entry.name];
+    if (this->policy.admissionControl) {
+        if (load.inFlight >= entry.concurrency) {
+            return Refusal {FailureReason::ConcurrencyLimited, refusalRetryAfter};
+        }
+        const double burst = std::max(1.0, entry.ratePerSecond * burstSeconds);
+        if (!load.rate.take(entry.ratePerSecond, burst, context.now)) {
+            return Refusal {FailureReason::RateLimited, refusalRetryAfter};
+        }
+    }
+    ++load.inFlight;
+    return std::nullopt;
+}
+
+void Admission::finished(const EntryName &entry, const Answer &, Context &)
+{
+    const auto found = this->loads.find(entry);
+    if (found != this->loads.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+}
+
+std::uint32_t Admission::inFlight(const EntryName &entry) const
+{
+    const auto found = this->loads.find(entry);
+    return found == this->loads.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace lagoondeck
--- a/logic/effects.h
+++ b/logic/effects.h
@@ -55,6 +55,13 @@
     std::string address;
 };
 
+/// Ask a target for its report over an idle connection.
+struct ProbeTarget
+{
+    ConnectionId connection;
+    TargetId target;
+};
+
 /// Close an idle connection.
 struct CloseConnection
 {
@@ -70,6 +77,8 @@
     std::string trafficClass;
     CallerName caller;
     Answer answer;
+    /// Admission took the query; otherwise it was refused before any work.
+    bool admitted = false;
 };
 
 /// Send a message to another entry instance; it may be lost.
@@ -120,8 +129,8 @@
 {
 };
 
-using Effect = std::variant<SendSubRequest, CancelSubRequest, OpenConnection, CloseConnection,
-                            AnswerCaller, SendPeerMessage, StoreOperation, StoreWatchEnd, SetTimer,
-                            WriteLog, StopCompleted>;
+using Effect = std::variant<SendSubRequest, CancelSubRequest, OpenConnection, ProbeTarget,
+                            CloseConnection, AnswerCaller, SendPeerMessage, StoreOperation,
+                            StoreWatchEnd, SetTimer, WriteLog, StopCompleted>;
 
 } // namespace lagoondeck
--- a/logic/events.h
+++ b/logic/events.h
@@ -100,11 +100,19 @@
     bool sent = false;
 };
 
-/// The health endpoint of a target told something; it may lag or mislead.
+/// A target answered a health check on one of our connections, which is idle again.
 struct TargetHealth
 {
+    ConnectionId connection;
+    TargetId target;
+    std::optional<TargetReport> report;
+};
+
+/// A target confirmed a cancellation; the connection that carried it is idle again.
+struct CancelConfirmed
+{
+    ConnectionId connection;
     TargetId target;
-    TargetReport report;
 };
 
 /// A timer's instant came.
@@ -150,9 +158,10 @@
 {
 };
 
-using EventBody = std::variant<ProcessStarted, CallerRequest, CallerGone, TargetReplied,
-                               ConnectionOpened, ConnectionClosed, TargetHealth, TimerFired,
-                               InstancesListed, PeerMessageReceived, StoreReplied, StopRequested>;
+using EventBody =
+        std::variant<ProcessStarted, CallerRequest, CallerGone, TargetReplied, ConnectionOpened,
+                     ConnectionClosed, TargetHealth, CancelConfirmed, TimerFired, InstancesListed,
+                     PeerMessageReceived, StoreReplied, StopRequested>;
 
 /// One thing that happened, with the times at which this process learned of it.
 struct Event
--- /dev/null
+++ b/logic/fanout/wait_queue.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <tuple>
+
+namespace lagoondeck {
+
+/// Sub-requests that wait for a replica of one shard, the highest priority first and then the one
+/// that came first.
+class WaitQueue
+{
+public:
+    struct Place
+    {
+        std::uint32_t priority = 0;
+        Instant since {};
+        QueryId query;
+
+        auto operator<=>(const Place &) const = default;
+    };
+
+    void add(const Place &place) { this->places.insert(place); }
+    void remove(const Place &place) { this->places.erase(place); }
+    const Place *first() const { return this->places.empty() ? nullptr : &*this->places.begin(); }
+    std::size_t size() const { return this->places.size(); }
+
+private:
+    std::set<Place> places;
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/limits/connection_share.cpp
@@ -0,0 +1,22 @@
+#include "logic/limits/connection_share.h"
+
+#include <algorithm>
+
+namespace lagoondeck {
+
+namespace {
+
+/// Connections beyond the target's slots let the next sub-request and cancellations travel while
+/// every slot is busy; more of them would only queue at the target.
+constexpr std::uint32_t connectionsPerSlot = 2;
+
+} // namespace
+
+std::uint32_t connectionShare(std::uint32_t connectionCap, std::uint32_t slots,
+                              std::uint32_t instances)
+{
+    const std::uint32_t fair = connectionCap / std::max(instances, 1U);
+    return std::clamp(fair, 1U, std::max(slots * connectionsPerSlot, 1U));
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/node_status.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/ids.h"
+#include "logic/policy.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace lagoondeck {
+
+/// One member of the cell as this instance sees it.
+struct MemberStatusRow
+{
+    InstanceId id;
+    FailureDomain failureDomain;
+    std::string state;
+};
+
+/// What one instance tells of itself.
+struct NodeStatus
+{
+    InstanceId id;
+    FailureDomain failureDomain;
+    bool ready = false;
+    bool stopping = false;
+    Revision catalogueRevision;
+    std::vector<EntryName> entries;
+    std::vector<MemberStatusRow> members;
+    std::size_t targets = 0;
+    std::size_t targetsLeaving = 0;
+    std::size_t connections = 0;
+    std::size_t queriesInFlight = 0;
+    std::size_t attemptsInFlight = 0;
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/reducer.cpp
@@ -0,0 +1,265 @@
+#include "logic/reducer.h"
+
+#include "logic/invariant.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace lagoondeck {
+
+namespace {
+
+/// How long callers and the balancer have to see that this instance is not ready any more.
+constexpr Duration announceWindow = std::chrono::milliseconds(1500);
+constexpr Duration stopCheckInterval = std::chrono::milliseconds(20);
+constexpr Duration retryElsewhereAfter = std::chrono::milliseconds(100);
+
+Member selfOf(const Settings &settings)
+{
+    Member self;
+    self.id = settings.id;
+    self.peerAddress = settings.peerAddress;
+    self.httpAddress = settings.httpAddress;
+    self.failureDomain = settings.failureDomain;
+    return self;
+}
+
+const char *nameOf(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Alive:
+        return "alive";
+    case MemberStatus::Suspect:
+        return "suspect";
+    case MemberStatus::Leaving:
+        return "leaving";
+    case MemberStatus::Dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+} // namespace
+
+Reducer::Reducer(const Settings &settings, Policy policy)
+    : settings(settings), policy(policy), random(settings.seed),
+      membership(selfOf(settings),
+                 [this](proto::PeerMessage &message) { this->catalogueSync.fillGossip(message); }),
+      catalogueSync(this->catalogue, this->membership.view()),
+      targets(policy, settings.expectedInstances), admission(policy), engine(policy, this->targets)
+{ }
+
+std::vector<Effect> Reducer::apply(const Event &event)
+{
+    std::vector<Effect> effects;
+    Context context {event.at, event.wall, effects, this->random, this->ids};
+    std::visit([&](const auto &body) { this->on(body, context); }, event.body);
+    this->observeAnswers(context);
+    return effects;
+}
+
+void Reducer::on(const ProcessStarted &, Context &context)
+{
+    this->targets.start(context);
+    this->membership.start(context);
+    this->catalogueSync.start(context);
+}
+
+std::optional<FailureReason> Reducer::unacceptable(const CallerRequest &request) const
+{
+    if (this->stopPhase >= StopPhase::Draining) {
+        return FailureReason::Stopping;
+    }
+    if (!this->catalogueSync.ready()) {
+        return FailureReason::NotReady;
+    }
+    if (this->catalogue.find(request.entry) == nullptr) {
+        return FailureReason::UnknownEntry;
+    }
+    if (!request.idempotent && (!request.shard || !request.issuedAt)) {
+        return FailureReason::BadRequest;
+    }
+    return std::nullopt;
+}
+
+void Reducer::on(const CallerRequest &event, Context &context)
+{
+    if (const auto reason = this->unacceptable(event)) {
+        this->refuse(event, {*reason, retryElsewhereAfter}, context);
+        return;
+    }
+    const CatalogueEntry &entry = *this->catalogue.find(event.entry);
+    if (const auto refusal = this->admission.admit(event, entry, context)) {
+        this->refuse(event, *refusal, context);
+        return;
+    }
+    this->engine.start(event, entry, context.now, context);
+}
+
+void Reducer::refuse(const CallerRequest &request, Refusal refusal, Context &context)
+{
+    AnswerCaller answer;
+    answer.query = request.query;
+    answer.entry = request.entry;
+    answer.caller = request.caller;
+    if (const CatalogueEntry *entry = this->catalogue.find(request.entry)) {
+        answer.trafficClass = entry->trafficClass;
+    }
+    answer.answer.outcome = Outcome::NotRun;
+    answer.answer.reason = refusal.reason;
+    answer.answer.retryAfter = refusal.retryAfter;
+    context.emit(std::move(answer));
+}
+
+void Reducer::observeAnswers(Context &context)
+{
+    for (std::size_t i = 0; i < context.effects.size(); ++i) {
+        const auto *answer = std::get_if<AnswerCaller>(&context.effects[i]);
+        if (answer != nullptr && answer->admitted) {
+            this->admission.finished(answer->entry, answer->answer, context);
+        }
+    }
+}
+
+void Reducer::on(const CallerGone &event, Context &context)
+{
+    this->engine.onCallerGone(event.query, context);
+}
+
+void Reducer::on(const TargetReplied &event, Context &context)
+{
+    this->engine.onReply(event, context);
+}
+
+void Reducer::on(const ConnectionOpened &event, Context &context)
+{
+    this->targets.onConnectionOpened(event, context);
+    if (const auto key = this->targets.shardOf(event.target)) {
+        this->engine.pump(*key, context);
+    }
+}
+
+void Reducer::on(const ConnectionClosed &event, Context &context)
+{
+    this->targets.onConnectionClosed(event, context);
+    this->engine.onConnectionClosed(event, context);
+}
+
+void Reducer::on(const TargetHealth &event, Context &context)
+{
+    this->targets.onHealth(event, context);
+    if (const auto key = this->targets.shardOf(event.target)) {
+        this->engine.pump(*key, context);
+    }
+}
+
+void Reducer::on(const CancelConfirmed &event, Context &context)
+{
+    this->targets.onCancelConfirmed(event, context);
+    if (const auto key = this->targets.shardOf(event.target)) {
+        this->engine.pump(*key, context);
+    }
+}
+
+void Reducer::on(const TimerFired &event, Context &context)
+{
+    switch (event.timer.kind) {
+    case TimerKind::QueryDeadline:
+        this->engine.onDeadline(QueryId(event.timer.key), context);
+        break;
+    case TimerKind::TargetMaintenance:
+        this->targets.onTimer(context);
+        break;
+    case TimerKind::Catalogue:
+        this->catalogueSync.onTimer(context);
+        break;
+    case TimerKind::Membership:
+        this->membership.onTimer(context);
+        break;
+    case TimerKind::StopBound:
+        this->completeStopIfIdle(context);
+        break;
+    case TimerKind::QueueCheck:
+    case TimerKind::Hedge:
+    case TimerKind::Claim:
+    case TimerKind::Quarantine:
+    case TimerKind::Shares:
+        break;
+    }
+}
+
+void Reducer::on(const InstancesListed &event, Context &context)
+{
+    this->membership.onInstances(event.list, context);
+    this->targets.onInstances(event.list, context);
+    this->engine.pumpAll(context);
+}
+
+void Reducer::on(const PeerMessageReceived &event, Context &context)
+{
+    this->membership.onPeerMessage(*event.message, context);
+    this->catalogueSync.onPeerMessage(*event.message, context);
+}
+
+void Reducer::on(const StoreReplied &event, Context &context)
+{
+    this->catalogueSync.onStoreReply(event, context);
+}
+
+void Reducer::on(const StopRequested &, Context &context)
+{
+    if (this->stopPhase != StopPhase::Serving) {
+        return;
+    }
+    this->stopPhase = StopPhase::Announced;
+    this->drainAt = context.now + announceWindow;
+    context.log(LogEvent::Stopping, {{"id", this->settings.id.value}});
+    this->membership.announceLeaving(context);
+    context.emit(SetTimer {{TimerKind::StopBound, 0}, this->drainAt});
+}
+
+void Reducer::completeStopIfIdle(Context &context)
+{
+    if (this->stopPhase == StopPhase::Announced && context.now >= this->drainAt) {
+        this->stopPhase = StopPhase::Draining;
+    }
+    const bool idle = this->engine.queriesInFlight() == 0 && this->engine.attemptsInFlight() == 0;
+    const bool bound = context.now >= this->drainAt - announceWindow + this->settings.stopBound;
+    if (this->stopPhase == StopPhase::Draining && (idle || bound)) {
+        this->stopPhase = StopPhase::Done;
+        if (!idle) {
+            context.log(LogEvent::StopBoundPassed,
+                        {{"queries", std::to_string(this->engine.queriesInFlight())}});
+        }
+        this->targets.closeAll(context);
+        context.emit(StopCompleted {});
+        return;
+    }
+    if (this->stopPhase != StopPhase::Done) {
+        context.emit(SetTimer {{TimerKind::StopBound, 0}, context.now + stopCheckInterval});
+    }
+}
+
+NodeStatus Reducer::status() const
+{
+    NodeStatus status;
+    status.id = this->settings.id;
+    status.failureDomain = this->settings.failureDomain;
+    status.ready = this->catalogueSync.ready() && this->stopPhase == StopPhase::Serving;
+    status.stopping = this->stopPhase != StopPhase::Serving;
+    status.catalogueRevision = this->catalogue.revision();
+    for (const auto &[name, entry] : this->catalogue.entries()) {
+        status.entries.push_back(name);
+    }
+    for (const Member &member : this->membership.view().others) {
+        status.members.push_back({member.id, member.failureDomain, nameOf(member.status)});
+    }
+    status.targets = this->targets.size();
+    status.targetsLeaving = this->targets.leavingCount();
+    status.connections = this->targets.connectionCount();
+    status.queriesInFlight = this->engine.queriesInFlight();
+    status.attemptsInFlight = this->engine.attemptsInFlight();
+    return status;
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/selection/shard_key.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <compare>
+
+namespace lagoondeck {
+
+/// Names one shard of one service; the targets of one key are replicas.
+struct ShardKey
+{
+    ServiceName service;
+    ShardId shard;
+
+    auto operator<=>(const ShardKey &) const = default;
+};
+
+} // namespace lagoondeck
