--- a/logic/admission/admission.cpp
+++ b/logic/admission/admission.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A refusal this recent means that the entry is overloaded.
+constexpr Duration overloadMemory = std::chrono::milliseconds(500);
 constexpr Duration refusalRetryAfter = std::chrono::seconds(1);
 /// A burst of this part of a second of the rate passes at once.
 constexpr double burstSeconds = 0.25;
@@ -21,12 +23,15 @@
                                         Context &context)
 {
     EntryLoad &load = this->loads[entry.name];
+    load.lastSeen = context.now;
     if (this->policy.admissionControl) {
         if (load.inFlight >= entry.concurrency) {
+            load.lastRefusal = context.now;
             return Refusal {FailureReason::ConcurrencyLimited, refusalRetryAfter};
         }
         const double burst = std::max(1.0, entry.ratePerSecond * burstSeconds);
         if (!load.rate.take(entry.ratePerSecond, burst, context.now)) {
+            load.lastRefusal = context.now;
             return Refusal {FailureReason::RateLimited, refusalRetryAfter};
         }
     }
@@ -42,6 +47,13 @@
     }
 }
 
+bool Admission::overloaded(const EntryName &entry) const
+{
+    const auto found = this->loads.find(entry);
+    return found != this->loads.end() && found->second.lastRefusal
+            && found->second.lastSeen - *found->second.lastRefusal < overloadMemory;
+}
+
 std::uint32_t Admission::inFlight(const EntryName &entry) const
 {
     const auto found = this->loads.find(entry);
--- a/logic/admission/admission.h
+++ b/logic/admission/admission.h
@@ -34,6 +34,8 @@
     /// The query was answered.
     void finished(const EntryName &entry, const Answer &answer, Context &context);
 
+    /// The entry's queries are being refused or wait long; nothing optional is to be sent.
+    bool overloaded(const EntryName &entry) const;
     std::uint32_t inFlight(const EntryName &entry) const;
 
 private:
@@ -41,6 +43,8 @@
     {
         TokenBucket rate;
         std::uint32_t inFlight = 0;
+        std::optional<Instant> lastRefusal;
+        Instant lastSeen {};
     };
 
     Policy policy;
