--- a/logic/fanout/wait_queue.h
+++ b/logic/fanout/wait_queue.h
@@ -21,7 +21,7 @@
         Instant since {};
         QueryId query;
 
-        auto operator<=>(const Place &) const = default;
+        auto operator<=>(const Place &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     void add(const Place &place) { this->places.insert(place); }
--- a/logic/selection/shard_key.h
+++ b/logic/selection/shard_key.h
@@ -12,7 +12,7 @@
     ServiceName service;
     ShardId shard;
 
-    auto operator<=>(const ShardKey &) const = default;
+    auto operator<=>(const ShardKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace lagoondeck
