--- a/logic/fanout/attempt_ledger.h
+++ b/logic/fanout/attempt_ledger.h
@@ -24,4 +24,7 @@
 /// left is proved not to have run.
 Outcome decideOutcome(const AttemptLedger &ledger, bool coverageReached);
 
+/// Checks that an outcome is one that the ledger proves.
+void checkOutcome(Outcome outcome, const AttemptLedger &ledger);
+
 } // namespace lagoondeck
--- a/logic/fanout/merge.cpp
+++ b/logic/fanout/merge.cpp
@@ -7,13 +7,28 @@
 
 namespace lagoondeck {
 
+namespace {
+
+/// An answered shard needs a reply that was sent for it and that names the query's snapshot.
+void checkAnswered(const Query &query, const ShardWork &work)
+{
+    const auto detail = [&] { return std::to_string(work.shard.value); };
+    ensure(work.answeredBy && work.answeredBy->shard == work.shard, Invariant::CoverageIsTrue,
+           detail);
+    ensure(work.answeredBy->snapshot == query.snapshot.version, Invariant::OneSnapshotPerAnswer,
+           detail);
+}
+
+} // namespace
+
 Coverage coverageOf(const Query &query)
 {
     Coverage coverage;
     coverage.snapshot = query.snapshot.version;
-    coverage.shardsNeeded = static_cast<std::uint32_t>(query.shards.size());
+    coverage.shardsNeeded = query.shardsNeeded;
     for (const ShardWork &work : query.shards) {
         if (work.phase == ShardPhase::Answered) {
+            checkAnswered(query, work);
             ++coverage.shardsAnswered;
             coverage.documentsAnswered += work.documents;
         } else {
@@ -30,6 +45,7 @@
     std::vector<Hit> hits;
     for (ShardWork &work : query.shards) {
         if (work.phase == ShardPhase::Answered) {
+            checkAnswered(query, work);
             std::ranges::move(work.hits, std::back_inserter(hits));
         }
     }
--- /dev/null
+++ b/logic/fanout/query_answer.cpp
@@ -0,0 +1,90 @@
+#include "logic/fanout/query_answer.h"
+
+#include "logic/fanout/merge.h"
+
+#include <algorithm>
+
+namespace lagoondeck {
+
+namespace {
+
+constexpr Duration retryAfterNotRun = std::chrono::milliseconds(100);
+
+FailureReason failureReasonOf(MissingReason reason)
+{
+    switch (reason) {
+    case MissingReason::TargetsShed:
+        return FailureReason::Overloaded;
+    case MissingReason::NoTarget:
+        return FailureReason::NoTarget;
+    case MissingReason::SnapshotRetired:
+        return FailureReason::NoSnapshot;
+    case MissingReason::TargetsLost:
+        return FailureReason::TargetsLost;
+    case MissingReason::TargetFailed:
+        return FailureReason::TargetFailed;
+    case MissingReason::DeadlinePassed:
+        return FailureReason::DeadlinePassed;
+    case MissingReason::Withdrawn:
+        return FailureReason::BelowMinimumCoverage;
+    }
+    return FailureReason::BelowMinimumCoverage;
+}
+
+/// The first shard that was really given up tells why; withdrawn ones only followed it.
+FailureReason failureReasonOf(const Query &query, Instant now)
+{
+    if (query.shardsNeeded == 0) {
+        return FailureReason::NoSnapshot;
+    }
+    const auto given = std::ranges::find_if(query.shards, [](const ShardWork &work) {
+        return work.phase == ShardPhase::Missing && work.reason != MissingReason::Withdrawn;
+    });
+    const FailureReason reason = given == query.shards.end() ? FailureReason::BelowMinimumCoverage
+                                                             : failureReasonOf(given->reason);
+    if (reason != FailureReason::DeadlinePassed || query.ledger.sent > 0) {
+        return reason;
+    }
+    // Nothing was sent: either there never was time for it, or it waited in vain.
+    return now == query.arrivedAt ? FailureReason::DeadlineTooShort : FailureReason::Overloaded;
+}
+
+} // namespace
+
+void closeOpenShards(Query &query, Instant now)
+{
+    const MissingReason reason =
+            now >= query.deadlineAt ? MissingReason::DeadlinePassed : MissingReason::Withdrawn;
+    for (ShardWork &work : query.shards) {
+        if (work.open()) {
+            work.phase = ShardPhase::Missing;
+            work.reason = reason;
+        }
+    }
+    query.shardsOpen = 0;
+}
+
+Answer answerOf(Query &query, Instant now)
+{
+    Answer answer;
+    answer.coverage = coverageOf(query);
+    const bool reached = answer.coverage.shardsAnswered > 0
+            && answer.coverage.fraction() >= query.minimumCoverage();
+    answer.outcome = decideOutcome(query.ledger, reached);
+    checkOutcome(answer.outcome, query.ledger);
+    if (answer.outcome == Outcome::Answered) {
+        answer.hits = mergeHits(query);
+    } else {
+        answer.reason = failureReasonOf(query, now);
+    }
+    if (answer.outcome == Outcome::NotRun && answer.reason != FailureReason::DeadlineTooShort) {
+        answer.retryAfter = retryAfterNotRun;
+    }
+    answer.elapsed = now - query.arrivedAt;
+    answer.slowestReply = query.slowestReply;
+    answer.subRequestsSent = query.ledger.sent;
+    answer.hedgesSent = query.hedgesSent;
+    return answer;
+}
+
+} // namespace lagoondeck
--- a/logic/fanout/query_engine.cpp
+++ b/logic/fanout/query_engine.cpp
@@ -1,12 +1,16 @@
 #include "logic/fanout/query_engine.h"
 
 #include "logic/context.h"
-#include "logic/fanout/merge.h"
+#include "logic/fanout/dispatcher.h"
+#include "logic/fanout/fanout_state.h"
+#include "logic/fanout/hedger.h"
+#include "logic/fanout/query_answer.h"
+#include "logic/fanout/reply_taker.h"
+#include "logic/fanout/snapshot_pinner.h"
 #include "logic/invariant.h"
-#include "logic/selection/target_table.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace lagoondeck {
 
@@ -14,92 +18,10 @@
 
 /// Kept back from the caller's deadline for merging and the way back.
 constexpr Duration answerReserve = std::chrono::milliseconds(3);
-/// Attempts of one shard at most, so that a query can't wander over all replicas.
-constexpr std::uint32_t mostAttemptsPerShard = 3;
+/// The reserve takes at most this part of a short deadline.
+constexpr int mostReservePart = 4;
 
-bool provesNotRun(ReplyKind kind)
-{
-    switch (kind) {
-    case ReplyKind::Shed:
-    case ReplyKind::Draining:
-    case ReplyKind::SnapshotRetired:
-    case ReplyKind::CancelledBeforeRun:
-    case ReplyKind::ExpiredBeforeRun:
-        return true;
-    case ReplyKind::Answered:
-    case ReplyKind::CancelledWhileRunning:
-    case ReplyKind::Failed:
-        return false;
-    }
-    return false;
-}
-
-MissingReason missingReasonOf(ReplyKind kind)
-{
-    switch (kind) {
-    case ReplyKind::Shed:
-        return MissingReason::TargetsShed;
-    case ReplyKind::Draining:
-        return MissingReason::NoTarget;
-    case ReplyKind::SnapshotRetired:
-        return MissingReason::SnapshotRetired;
-    case ReplyKind::ExpiredBeforeRun:
-        return MissingReason::DeadlinePassed;
-    case ReplyKind::CancelledBeforeRun:
-    case ReplyKind::CancelledWhileRunning:
-        return MissingReason::Withdrawn;
-    case ReplyKind::Answered:
-    case ReplyKind::Failed:
-        return MissingReason::TargetFailed;
-    }
-    return MissingReason::TargetFailed;
-}
-
-SubRequestEnd endOf(ReplyKind kind)
-{
-    if (kind == ReplyKind::Answered) {
-        return SubRequestEnd::Answered;
-    }
-    if (kind == ReplyKind::CancelledBeforeRun || kind == ReplyKind::CancelledWhileRunning) {
-        return SubRequestEnd::Cancelled;
-    }
-    return provesNotRun(kind) ? SubRequestEnd::Refused : SubRequestEnd::Failed;
-}
-
-FailureReason failureReasonOf(const Query &query, Instant now)
-{
-    if (now >= query.deadlineAt) {
-        return FailureReason::DeadlinePassed;
-    }
-    for (const ShardWork &work : query.shards) {
-        if (work.phase == ShardPhase::Answered) {
-            continue;
-        }
-        switch (work.reason) {
-        case MissingReason::TargetsShed:
-            return FailureReason::Overloaded;
-        case MissingReason::NoTarget:
-            return FailureReason::NoTarget;
-        case MissingReason::SnapshotRetired:
-            return FailureReason::NoSnapshot;
-        case MissingReason::TargetsLost:
-            return FailureReason::TargetsLost;
-        case MissingReason::TargetFailed:
-            return FailureReason::TargetFailed;
-        case MissingReason::DeadlinePassed:
-        case MissingReason::Withdrawn:
-            break;
-        }
-    }
-    return FailureReason::BelowMinimumCoverage;
-}
-
-} // namespace
-
-QueryEngine::QueryEngine(Policy policy, TargetTable &targets) : policy(policy), targets(targets) { }
-
-void QueryEngine::start(const CallerRequest &request, const CatalogueEntry &entry,
-                        Instant arrivedAt, Context &context)
+Query newQuery(const CallerRequest &request, const CatalogueEntry &entry, Instant arrivedAt)
 {
     Query query;
     query.request = request;
@@ -107,288 +29,149 @@
     query.arrivedAt = arrivedAt;
     const Duration budget =
             request.budget.count() > 0 ? std::min(request.budget, entry.deadline) : entry.deadline;
-    query.deadlineAt = arrivedAt + budget - std::min(answerReserve, budget / 4);
-    if (const auto snapshot = this->targets.snapshotFor(entry.service)) {
-        query.snapshot = *snapshot;
-    }
-    this->buildShards(query);
-    const QueryId id = request.query;
-    const auto [found, inserted] = this->queries.emplace(id, std::move(query));
-    ensure(inserted, Invariant::OneAnswerPerRequest);
-    Query &stored = found->second;
-    context.emit(SetTimer {{TimerKind::QueryDeadline, id.value}, stored.deadlineAt});
-    for (ShardWork &work : stored.shards) {
-        this->sendOrWait(stored, work, context);
-    }
-    this->finishIfDone(id, context);
+    query.deadlineAt = arrivedAt + budget - std::min(answerReserve, budget / mostReservePart);
+    return query;
 }
 
-void QueryEngine::buildShards(Query &query)
-{
-    if (query.request.shard) {
-        query.shards.push_back({*query.request.shard});
-    } else {
-        for (std::uint32_t shard = 0; shard < query.snapshot.shardCount; ++shard) {
-            query.shards.push_back({ShardId(shard)});
-        }
-    }
-    query.shardsOpen = static_cast<std::uint32_t>(query.shards.size());
-}
+} // namespace
 
-WaitQueue::Place QueryEngine::placeOf(const Query &query) const
+struct QueryEngine::Parts
 {
-    return {query.entry.priority, query.arrivedAt, query.request.query};
-}
+    Parts(Policy policy, TargetTable &targets, OverloadSign overloaded)
+        : state(policy, targets, std::move(overloaded)), dispatcher(this->state),
+          replies(this->state, this->dispatcher), hedger(this->state, this->dispatcher),
+          pinner(this->state, this->dispatcher)
+    { }
 
-void QueryEngine::sendOrWait(Query &query, ShardWork &work, Context &context)
-{
-    const ShardKey key {query.entry.service, work.shard};
-    if (!this->targets.hasReplica(key, query.snapshot.version, work.tried)) {
-        const bool retired = !work.tried.empty();
-        this->settleShard(query, work, ShardPhase::Missing,
-                          retired ? work.reason : MissingReason::NoTarget);
-        return;
-    }
-    if (!this->trySend(query, work, context)) {
-        work.phase = ShardPhase::Waiting;
-        this->waiting[key].add(this->placeOf(query));
-    }
-}
+    FanoutState state;
+    Dispatcher dispatcher;
+    ReplyTaker replies;
+    Hedger hedger;
+    SnapshotPinner pinner;
+};
 
-bool QueryEngine::trySend(Query &query, ShardWork &work, Context &context)
-{
-    const ShardKey key {query.entry.service, work.shard};
-    const auto reservation =
-            this->targets.reserve(key, query.snapshot.version, work.tried, context);
-    if (!reservation) {
-        return false;
-    }
-    ensure(query.request.idempotent || work.attemptsSent == 0, Invariant::AtMostOneSend);
-    const auto id = context.ids.next<AttemptId>();
-    this->attempts.emplace(id,
-                           Attempt {id, query.request.query, key, query.snapshot.version,
-                                    *reservation, context.now});
-    work.phase = ShardPhase::Running;
-    work.tried.push_back(reservation->target);
-    ++work.attemptsOut;
-    ++work.attemptsSent;
-    ++query.ledger.sent;
-    context.emit(SendSubRequest {
-            id, reservation->connection, reservation->target, query.entry.service, work.shard,
-            query.snapshot.version, query.request.requestId, query.request.caller,
-            query.request.idempotent, query.deadlineAt - context.now, query.request.body});
-    return true;
-}
+QueryEngine::QueryEngine(Policy policy, TargetTable &targets, OverloadSign overloaded)
+    : parts(std::make_unique<Parts>(policy, targets, std::move(overloaded)))
+{ }
+
+QueryEngine::~QueryEngine() = default;
 
-void QueryEngine::settleShard(Query &query, ShardWork &work, ShardPhase phase, MissingReason reason)
+void QueryEngine::start(const CallerRequest &request, const CatalogueEntry &entry,
+                        Instant arrivedAt, Context &context)
 {
-    work.phase = phase;
-    work.reason = reason;
-    --query.shardsOpen;
+    const QueryId id = request.query;
+    const auto [found, inserted] =
+            this->parts->state.queries.emplace(id, newQuery(request, entry, arrivedAt));
+    ensure(inserted, Invariant::OneAnswerPerRequest, [&] { return std::to_string(id.value); });
+    Query &query = found->second;
+    this->parts->pinner.pin(query);
+    context.emit(SetTimer {{TimerKind::QueryDeadline, id.value}, query.deadlineAt});
+    this->parts->pinner.sendAll(query, context);
+    this->parts->hedger.watch(query, context);
+    this->parts->state.touched.push_back(id);
+    this->finishTouched(context);
 }
 
 void QueryEngine::onReply(const TargetReplied &event, Context &context)
 {
-    const auto found = this->attempts.find(event.attempt);
-    if (found == this->attempts.end() || found->second.reservation.connection != event.connection) {
-        context.log(LogEvent::ReplyUnmatched, {{"attempt", std::to_string(event.attempt.value)}});
-        return;
-    }
-    const Attempt attempt = found->second;
-    this->attempts.erase(found);
-    if (event.report) {
-        this->targets.onReport(attempt.reservation.target, *event.report, context);
-    }
-    if (event.kind == ReplyKind::Draining) {
-        this->targets.markLeaving(attempt.reservation.target, context);
-    }
-    this->targets.release(attempt.reservation, endOf(event.kind), context.now - attempt.sentAt,
-                          context);
-    if (const auto query = this->queries.find(attempt.query); query != this->queries.end()) {
-        if (ShardWork *work = query->second.work(attempt.key.shard)) {
-            --work->attemptsOut;
-            this->applyReply(query->second, *work, event, context);
-        }
-        this->finishIfDone(attempt.query, context);
-    }
-    this->pump(attempt.key, context);
+    this->parts->replies.onReply(event, context);
+    this->finishTouched(context);
 }
 
-void QueryEngine::applyReply(Query &query, ShardWork &work, const TargetReplied &event,
-                             Context &context)
+void QueryEngine::onConnectionClosed(const ConnectionClosed &event, Context &context)
 {
-    if (provesNotRun(event.kind)) {
-        ++query.ledger.provedNotRun;
-    } else {
-        ++query.ledger.provedRan;
-    }
-    if (work.phase == ShardPhase::Answered || work.phase == ShardPhase::Missing) {
-        return;
-    }
-    if (event.kind == ReplyKind::Answered && event.snapshot == query.snapshot.version) {
-        this->takeAnswer(query, work, event);
-        return;
-    }
-    const bool mayRetry = provesNotRun(event.kind) && event.kind != ReplyKind::ExpiredBeforeRun;
-    if (mayRetry && this->policy.retries) {
-        this->retryOrGiveUp(query, work, missingReasonOf(event.kind), context);
-    } else if (work.attemptsOut == 0) {
-        this->settleShard(query, work, ShardPhase::Missing, missingReasonOf(event.kind));
+    this->parts->replies.onConnectionClosed(event, context);
+    if (const auto key = this->parts->state.targets.shardOf(event.target)) {
+        this->parts->dispatcher.pump(*key, context);
     }
+    this->finishTouched(context);
 }
 
-void QueryEngine::takeAnswer(Query &query, ShardWork &work, const TargetReplied &event)
+void QueryEngine::onDeadline(QueryId id, Context &context)
 {
-    ensure(event.snapshot == query.snapshot.version, Invariant::OneSnapshotPerAnswer);
-    work.hits = event.hits;
-    work.documents = event.documents;
-    query.slowestReply = std::max(query.slowestReply, event.serviceTime);
-    this->settleShard(query, work, ShardPhase::Answered, work.reason);
+    if (this->parts->state.find(id) != nullptr) {
+        this->finish(id, context);
+    }
 }
 
-void QueryEngine::retryOrGiveUp(Query &query, ShardWork &work, MissingReason reason,
-                                Context &context)
+void QueryEngine::onLook(QueryId id, Context &context)
 {
-    if (work.attemptsOut > 0) {
-        return;
+    if (Query *query = this->parts->state.find(id)) {
+        this->parts->hedger.look(*query, context);
     }
-    work.reason = reason;
-    if (work.attemptsSent >= mostAttemptsPerShard || !query.request.idempotent) {
-        this->settleShard(query, work, ShardPhase::Missing, reason);
-        return;
-    }
-    this->sendOrWait(query, work, context);
+    this->finishTouched(context);
 }
 
-void QueryEngine::onConnectionClosed(const ConnectionClosed &event, Context &context)
+void QueryEngine::onCallerGone(QueryId id, Context &context)
 {
-    if (!event.attempt) {
-        return;
-    }
-    const auto found = this->attempts.find(*event.attempt);
-    if (found == this->attempts.end()) {
-        return;
-    }
-    const Attempt attempt = found->second;
-    this->attempts.erase(found);
-    const auto query = this->queries.find(attempt.query);
-    if (query == this->queries.end()) {
-        return;
-    }
-    if (!event.sent) {
-        ++query->second.ledger.provedNotRun;
-    }
-    ShardWork *work = query->second.work(attempt.key.shard);
-    --work->attemptsOut;
-    if (work->phase == ShardPhase::Running) {
-        const bool mayRetry = this->policy.retries && (query->second.request.idempotent);
-        if (mayRetry) {
-            this->retryOrGiveUp(query->second, *work, MissingReason::TargetsLost, context);
-        } else if (work->attemptsOut == 0) {
-            this->settleShard(query->second, *work, ShardPhase::Missing,
-                              MissingReason::TargetsLost);
-        }
+    if (this->parts->state.find(id) != nullptr) {
+        this->finish(id, context);
     }
-    this->finishIfDone(attempt.query, context);
 }
 
-void QueryEngine::onDeadline(QueryId id, Context &context)
+void QueryEngine::pump(const ShardKey &key, Context &context)
 {
-    if (this->queries.contains(id)) {
-        this->finish(id, context);
-    }
+    this->parts->dispatcher.pump(key, context);
+    this->finishTouched(context);
 }
 
-void QueryEngine::onCallerGone(QueryId id, Context &context)
+void QueryEngine::pumpAll(Context &context)
 {
-    if (this->queries.contains(id)) {
-        this->finish(id, context);
-    }
+    this->parts->dispatcher.pumpAll(context);
+    this->finishTouched(context);
 }
 
-void QueryEngine::finishIfDone(QueryId id, Context &context)
+void QueryEngine::finishTouched(Context &context)
 {
-    const auto found = this->queries.find(id);
-    if (found != this->queries.end() && found->second.shardsOpen == 0) {
-        this->finish(id, context);
+    std::vector<QueryId> &touched = this->parts->state.touched;
+    while (!touched.empty()) {
+        const QueryId id = touched.back();
+        touched.pop_back();
+        Query *query = this->parts->state.find(id);
+        if (query == nullptr) {
+            continue;
+        }
+        if (query->snapshotGone && this->parts->pinner.restart(*query, context)) {
+            this->parts->hedger.watch(*query, context);
+            touched.push_back(id);
+            continue;
+        }
+        query->snapshotGone = false;
+        if (query->shardsOpen == 0 || !query->minimumReachable()) {
+            this->finish(id, context);
+        }
     }
 }
 
 void QueryEngine::finish(QueryId id, Context &context)
 {
-    const auto found = this->queries.find(id);
+    const auto found = this->parts->state.queries.find(id);
     Query &query = found->second;
-    for (ShardWork &work : query.shards) {
-        if (work.phase == ShardPhase::Waiting) {
-            this->waiting[{query.entry.service, work.shard}].remove(this->placeOf(query));
+    // At the deadline the targets drop what is out by themselves.
+    const bool cancel = context.now < query.deadlineAt;
+    for (const ShardWork &work : query.shards) {
+        this->parts->dispatcher.leaveQueue(query, work);
+        for (const AttemptId attempt : work.attemptsOut) {
+            if (cancel) {
+                this->parts->dispatcher.cancel(attempt, false, context);
+            }
         }
     }
-    Answer answer;
-    answer.coverage = coverageOf(query);
-    const bool reached = answer.coverage.shardsAnswered > 0
-            && answer.coverage.fraction() >= query.minimumCoverage();
-    answer.outcome = decideOutcome(query.ledger, reached);
-    ensure(answer.outcome != Outcome::NotRun || query.ledger.nothingRan(),
-           Invariant::NotRunIsProved);
-    if (answer.outcome == Outcome::Answered) {
-        answer.hits = mergeHits(query);
-    } else {
-        answer.reason = failureReasonOf(query, context.now);
-    }
-    answer.elapsed = context.now - query.arrivedAt;
-    answer.slowestReply = query.slowestReply;
-    answer.subRequestsSent = query.ledger.sent;
-    answer.hedgesSent = query.hedgesSent;
+    closeOpenShards(query, context.now);
+    Answer answer = answerOf(query, context.now);
     context.emit(AnswerCaller {id, query.entry.name, query.entry.trafficClass, query.request.caller,
                                std::move(answer), true});
-    this->queries.erase(found);
-    this->cancelOutstanding(id, context);
+    this->parts->state.queries.erase(found);
 }
 
-void QueryEngine::cancelOutstanding(QueryId id, Context &context)
+std::size_t QueryEngine::queriesInFlight() const
 {
-    for (auto &[attemptId, attempt] : this->attempts) {
-        if (attempt.query == id && !attempt.cancelled) {
-            attempt.cancelled = true;
-            context.emit(CancelSubRequest {
-                    attemptId, attempt.reservation.connection, attempt.reservation.target,
-                    this->targets.takeForCancel(attempt.reservation.target)});
-        }
-    }
+    return this->parts->state.queries.size();
 }
 
-void QueryEngine::pump(const ShardKey &key, Context &context)
+std::size_t QueryEngine::attemptsInFlight() const
 {
-    const auto queue = this->waiting.find(key);
-    if (queue == this->waiting.end()) {
-        return;
-    }
-    while (const WaitQueue::Place *first = queue->second.first()) {
-        const WaitQueue::Place place = *first;
-        const auto query = this->queries.find(place.query);
-        if (query == this->queries.end()) {
-            queue->second.remove(place);
-            continue;
-        }
-        ShardWork *work = query->second.work(key.shard);
-        if (!this->trySend(query->second, *work, context)) {
-            return;
-        }
-        queue->second.remove(place);
-    }
-}
-
-void QueryEngine::pumpAll(Context &context)
-{
-    std::vector<ShardKey> keys;
-    for (const auto &[key, queue] : this->waiting) {
-        if (queue.size() > 0) {
-            keys.push_back(key);
-        }
-    }
-    for (const ShardKey &key : keys) {
-        this->pump(key, context);
-    }
+    return this->parts->state.attempts.size();
 }
 
 } // namespace lagoondeck
--- a/logic/fanout/query_engine.h
+++ b/logic/fanout/query_engine.h
@@ -2,12 +2,12 @@
 
 #include "core/catalogue_entry.h"
 #include "logic/events.h"
-#include "logic/fanout/query.h"
-#include "logic/fanout/wait_queue.h"
 #include "logic/policy.h"
+#include "logic/selection/shard_key.h"
 
-#include <map>
-#include <unordered_map>
+#include <cstddef>
+#include <functional>
+#include <memory>
 
 namespace lagoondeck {
 
@@ -18,7 +18,11 @@
 class QueryEngine
 {
 public:
-    QueryEngine(Policy policy, TargetTable &targets);
+    /// Says whether an entry is overloaded, so that nothing optional is sent for it.
+    using OverloadSign = std::function<bool(const EntryName &)>;
+
+    QueryEngine(Policy policy, TargetTable &targets, OverloadSign overloaded);
+    ~QueryEngine();
 
     /// Starts an admitted query. It is answered by exactly one AnswerCaller effect.
     void start(const CallerRequest &request, const CatalogueEntry &entry, Instant arrivedAt,
@@ -26,32 +30,24 @@
     void onReply(const TargetReplied &event, Context &context);
     void onConnectionClosed(const ConnectionClosed &event, Context &context);
     void onDeadline(QueryId query, Context &context);
+    /// TimerKind::Hedge: looks after late shards and those that back off.
+    void onLook(QueryId query, Context &context);
     void onCallerGone(QueryId query, Context &context);
     /// Sends what waits, after a connection became idle or a target usable.
     void pump(const ShardKey &key, Context &context);
     void pumpAll(Context &context);
 
-    std::size_t queriesInFlight() const { return this->queries.size(); }
-    std::size_t attemptsInFlight() const { return this->attempts.size(); }
+    std::size_t queriesInFlight() const;
+    std::size_t attemptsInFlight() const;
 
 private:
-    void buildShards(Query &query);
-    void sendOrWait(Query &query, ShardWork &work, Context &context);
-    bool trySend(Query &query, ShardWork &work, Context &context);
-    void settleShard(Query &query, ShardWork &work, ShardPhase phase, MissingReason reason);
-    void retryOrGiveUp(Query &query, ShardWork &work, MissingReason reason, Context &context);
-    void takeAnswer(Query &query, ShardWork &work, const TargetReplied &event);
-    void applyReply(Query &query, ShardWork &work, const TargetReplied &event, Context &context);
-    void finishIfDone(QueryId query, Context &context);
+    struct Parts;
+
+    /// Restarts or finishes the queries that the parts noted.
+    void finishTouched(Context &context);
     void finish(QueryId query, Context &context);
-    void cancelOutstanding(QueryId query, Context &context);
-    WaitQueue::Place placeOf(const Query &query) const;
-
-    Policy policy;
-    TargetTable &targets;
-    std::unordered_map<QueryId, Query> queries;
-    std::unordered_map<AttemptId, Attempt> attempts;
-    std::map<ShardKey, WaitQueue> waiting;
+
+    std::unique_ptr<Parts> parts;
 };
 
 } // namespace lagoondeck
--- /dev/null
+++ b/logic/fanout/reply_meaning.cpp
@@ -0,0 +1,67 @@
+#include "logic/fanout/reply_meaning.h"
+
+namespace lagoondeck {
+
+bool provesNotRun(ReplyKind kind)
+{
+    switch (kind) {
+    case ReplyKind::Shed:
+    case ReplyKind::Draining:
+    case ReplyKind::SnapshotRetired:
+    case ReplyKind::CancelledBeforeRun:
+    case ReplyKind::ExpiredBeforeRun:
+        return true;
+    case ReplyKind::Answered:
+    case ReplyKind::CancelledWhileRunning:
+    case ReplyKind::Failed:
+        return false;
+    }
+    return false;
+}
+
+MissingReason missingReasonOf(ReplyKind kind)
+{
+    switch (kind) {
+    case ReplyKind::Shed:
+        return MissingReason::TargetsShed;
+    case ReplyKind::Draining:
+        return MissingReason::NoTarget;
+    case ReplyKind::SnapshotRetired:
+        return MissingReason::SnapshotRetired;
+    case ReplyKind::ExpiredBeforeRun:
+        return MissingReason::DeadlinePassed;
+    case ReplyKind::CancelledBeforeRun:
+    case ReplyKind::CancelledWhileRunning:
+        return MissingReason::Withdrawn;
+    case ReplyKind::Answered:
+    case ReplyKind::Failed:
+        return MissingReason::TargetFailed;
+    }
+    return MissingReason::TargetFailed;
+}
+
+SubRequestEnd endOf(ReplyKind kind)
+{
+    switch (kind) {
+    case ReplyKind::Answered:
+        return SubRequestEnd::Answered;
+    case ReplyKind::CancelledBeforeRun:
+    case ReplyKind::CancelledWhileRunning:
+        return SubRequestEnd::Cancelled;
+    case ReplyKind::Shed:
+    case ReplyKind::Draining:
+    case ReplyKind::SnapshotRetired:
+    case ReplyKind::ExpiredBeforeRun:
+        return SubRequestEnd::Refused;
+    case ReplyKind::Failed:
+        return SubRequestEnd::Failed;
+    }
+    return SubRequestEnd::Failed;
+}
+
+bool isFreeToRetry(ReplyKind kind)
+{
+    return kind == ReplyKind::Draining || kind == ReplyKind::SnapshotRetired;
+}
+
+} // namespace lagoondeck
--- /dev/null
+++ b/logic/fanout/snapshot_pinner.cpp
@@ -0,0 +1,80 @@
+#include "logic/fanout/snapshot_pinner.h"
+
+#include "logic/context.h"
+#include "logic/fanout/dispatcher.h"
+#include "logic/fanout/fanout_state.h"
+
+namespace lagoondeck {
+
+namespace {
+
+constexpr std::uint32_t mostRestarts = 2;
+/// Time that a whole query needs while nothing has been learned.
+constexpr Duration unlearnedQueryTime = std::chrono::milliseconds(10);
+
+} // namespace
+
+void SnapshotPinner::pin(Query &query)
+{
+    query.snapshot =
+            this->state.targets.snapshotFor(query.entry.service).value_or(SnapshotAnnouncement {});
+    query.shards.clear();
+    if (query.request.shard) {
+        query.shards.push_back({*query.request.shard});
+    } else {
+        query.shards.reserve(query.snapshot.shardCount);
+        for (std::uint32_t shard = 0; shard < query.snapshot.shardCount; ++shard) {
+            query.shards.push_back({ShardId(shard)});
+        }
+    }
+    query.shardsNeeded = query.request.shard ? 1 : query.snapshot.shardCount;
+    query.shardsOpen = query.shardsNeeded;
+    query.shardsMissing = 0;
+    query.snapshotGone = false;
+}
+
+void SnapshotPinner::sendAll(Query &query, Context &context)
+{
+    for (ShardWork &work : query.shards) {
+        this->dispatcher.sendOrWait(query, work, context);
+        if (query.shardsOpen > 0 && !query.minimumReachable()) {
+            // It can't succeed any more; the rest would be wasted.
+            return;
+        }
+    }
+}
+
+bool SnapshotPinner::mayRestart(const Query &query, Instant now) const
+{
+    if (!query.request.idempotent || query.restarts >= mostRestarts) {
+        return false;
+    }
+    const auto newer = this->state.targets.snapshotFor(query.entry.service);
+    if (!newer || newer->version == query.snapshot.version) {
+        return false;
+    }
+    const auto figures = this->state.figuresOf(query.entry.service);
+    return now + (figures ? figures->usual : unlearnedQueryTime) <= query.deadlineAt;
+}
+
+bool SnapshotPinner::restart(Query &query, Context &context)
+{
+    if (!this->mayRestart(query, context.now)) {
+        return false;
+    }
+    for (const ShardWork &work : query.shards) {
+        this->dispatcher.leaveQueue(query, work);
+        for (const AttemptId attempt : work.attemptsOut) {
+            this->dispatcher.cancel(attempt, false, context);
+        }
+    }
+    ++query.restarts;
+    this->pin(query);
+    context.log(LogEvent::QueryRestarted,
+                {{"query", std::to_string(query.request.query.value)},
+                 {"snapshot", std::to_string(query.snapshot.version.value)}});
+    this->sendAll(query, context);
+    return true;
+}
+
+} // namespace lagoondeck
--- a/logic/fanout/wait_queue.h
+++ b/logic/fanout/wait_queue.h
@@ -27,6 +27,12 @@
     void add(const Place &place) { this->places.insert(place); }
     void remove(const Place &place) { this->places.erase(place); }
     const Place *first() const { return this->places.empty() ? nullptr : &*this->places.begin(); }
+    /// The place behind another one, which need not be in the queue any more.
+    const Place *after(const Place &place) const
+    {
+        const auto next = this->places.upper_bound(place);
+        return next == this->places.end() ? nullptr : &*next;
+    }
     std::size_t size() const { return this->places.size(); }
 
 private:
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -46,7 +46,9 @@
       membership(selfOf(settings),
                  [this](proto::PeerMessage &message) { this->catalogueSync.fillGossip(message); }),
       catalogueSync(this->catalogue, this->membership.view()),
-      targets(policy, settings.expectedInstances), admission(policy), engine(policy, this->targets)
+      targets(policy, settings.expectedInstances), admission(policy),
+      engine(policy, this->targets,
+             [this](const EntryName &entry) { return this->admission.overloaded(entry); })
 { }
 
 std::vector<Effect> Reducer::apply(const Event &event)
@@ -167,6 +169,9 @@
     case TimerKind::QueryDeadline:
         this->engine.onDeadline(QueryId(event.timer.key), context);
         break;
+    case TimerKind::Hedge:
+        this->engine.onLook(QueryId(event.timer.key), context);
+        break;
     case TimerKind::TargetMaintenance:
         this->targets.onTimer(context);
         break;
@@ -180,7 +185,6 @@
         this->completeStopIfIdle(context);
         break;
     case TimerKind::QueueCheck:
-    case TimerKind::Hedge:
     case TimerKind::Claim:
     case TimerKind::Quarantine:
     case TimerKind::Shares:
--- a/logic/selection/target_table.cpp
+++ b/logic/selection/target_table.cpp
@@ -17,6 +17,8 @@
 constexpr Duration firstConnectBackoff = std::chrono::milliseconds(50);
 constexpr Duration longestConnectBackoff = std::chrono::seconds(2);
 constexpr std::uint32_t mostBackoffDoublings = 6;
+/// A target that failed to accept so many connections in a row is not expected back at once.
+constexpr std::uint32_t fewestFailuresForLost = 2;
 
 /// Exponential with jitter, so that instances don't return to a target together.
 Duration connectBackoff(std::uint32_t failures, RandomEngine &random)
@@ -345,6 +347,23 @@
                });
 }
 
+bool TargetTable::hasUsable(const ShardKey &key) const
+{
+    const auto found = this->shards.find(key);
+    return found != this->shards.end() && std::ranges::any_of(found->second, &TargetState::usable);
+}
+
+bool TargetTable::mayReturn(const ShardKey &key, std::span<const TargetId> excluded) const
+{
+    const auto found = this->shards.find(key);
+    return found != this->shards.end()
+            && std::ranges::any_of(found->second, [&](const TargetState *state) {
+                   return !state->leaving && !state->gone && !state->reportedAt
+                           && state->connectFailures < fewestFailuresForLost
+                           && std::ranges::find(excluded, state->info.id) == excluded.end();
+               });
+}
+
 std::optional<ShardKey> TargetTable::shardOf(const TargetId &target) const
 {
     const auto found = this->targets.find(target);
--- a/logic/selection/target_table.h
+++ b/logic/selection/target_table.h
@@ -75,6 +75,10 @@
     /// Some usable target of the shard, not excluded, serves the snapshot.
     bool hasReplica(const ShardKey &key, SnapshotVersion snapshot,
                     std::span<const TargetId> excluded) const;
+    /// Some usable target holds the shard, whatever snapshots it serves.
+    bool hasUsable(const ShardKey &key) const;
+    /// Some listed target of the shard, not excluded, is out of reach for a moment only.
+    bool mayReturn(const ShardKey &key, std::span<const TargetId> excluded) const;
     /// The shard that a target serves; nullopt when it is unknown.
     std::optional<ShardKey> shardOf(const TargetId &target) const;
     std::size_t size() const { return this->targets.size(); }
