--- /dev/null
+++ b/tests/logic/fanout/test_hedging.cpp
@@ -0,0 +1,120 @@
+#include "tests/logic/fanout/engine_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoondeck;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<SnapshotAnnouncement> versionSeven {{SnapshotVersion(7), 3}};
+
+/// Starts a query after enough others to learn from; one shard's reply stays out.
+struct LateShard
+{
+    explicit LateShard(EngineFixture &fixture, CallerRequest request)
+    {
+        fixture.learn(4ms, 1000, 40);
+        fixture.start(request);
+        for (const SendSubRequest &each : fixture.taken<SendSubRequest>()) {
+            if (each.shard == ShardId(1)) {
+                this->late = each;
+            } else {
+                fixture.now += 1ms;
+                fixture.reply(each);
+            }
+        }
+        fixture.now += 25ms;
+        fixture.look(request.query.value);
+    }
+
+    SendSubRequest late;
+};
+
+} // namespace
+
+TEST_CASE("A late shard gets one second attempt on another replica; the loser is cancelled")
+{
+    EngineFixture fixture;
+    fixture.addTargets(3, 2, versionSeven);
+    const LateShard shard(fixture, fixture.request(1));
+    const auto hedges = fixture.taken<SendSubRequest>();
+    REQUIRE(hedges.size() == 1);
+    CHECK(hedges.front().shard == ShardId(1));
+    CHECK(hedges.front().target != shard.late.target);
+    fixture.now += 50ms;
+    fixture.look(1);
+    CHECK(fixture.taken<SendSubRequest>().empty());
+    fixture.reply(hedges.front());
+    const Answer answer = fixture.answer();
+    CHECK(answer.outcome == Outcome::Answered);
+    CHECK(answer.hedgesSent == 1);
+    const auto cancels = fixture.taken<CancelSubRequest>();
+    REQUIRE(cancels.size() == 1);
+    CHECK(cancels.front().attempt == shard.late.attempt);
+    CHECK(cancels.front().via);
+    // The loser's reply finds no query any more.
+    fixture.reply(shard.late);
+    CHECK(fixture.taken<AnswerCaller>().empty());
+}
+
+TEST_CASE("No hedge is sent for an overloaded entry, without a budget, or by the policy")
+{
+    EngineFixture fixture(GENERATE(Policy {}, Policy {true, false}));
+    fixture.addTargets(3, 2, versionSeven);
+    const int hindrance = GENERATE(0, 1);
+    if (hindrance == 0) {
+        fixture.overloaded = true;
+    } else {
+        fixture.entry.hedgeBudget = 0.0;
+    }
+    const LateShard shard(fixture, fixture.request(1));
+    CHECK(fixture.taken<SendSubRequest>().empty());
+}
+
+TEST_CASE("A request that is not idempotent is never hedged")
+{
+    EngineFixture fixture;
+    fixture.addTargets(3, 2, versionSeven);
+    CallerRequest request = fixture.request(1);
+    request.idempotent = false;
+    request.shard = ShardId(1);
+    const LateShard shard(fixture, request);
+    CHECK(fixture.taken<SendSubRequest>().empty());
+}
+
+TEST_CASE("Hedges stay within their part of the first sub-requests")
+{
+    EngineFixture fixture;
+    fixture.addTargets(3, 2, versionSeven);
+    fixture.learn(4ms, 1000, 40);
+    std::size_t hedges = 0;
+    for (std::uint64_t query = 1; query <= 200; ++query) {
+        fixture.start(fixture.request(query));
+        auto sent = fixture.taken<SendSubRequest>();
+        fixture.now += 25ms;
+        fixture.look(query);
+        const auto second = fixture.taken<SendSubRequest>();
+        hedges += second.size();
+        sent.insert(sent.end(), second.begin(), second.end());
+        for (const SendSubRequest &each : sent) {
+            fixture.reply(each);
+        }
+    }
+    CHECK(hedges > 0);
+    CHECK(static_cast<double>(hedges) <= 0.05 * (240 * 3));
+}
+
+TEST_CASE("A loser at a target with no idle connection is closed when it is late")
+{
+    EngineFixture fixture;
+    fixture.addTargets(3, 2, versionSeven);
+    const LateShard shard(fixture, fixture.request(1));
+    const auto hedges = fixture.taken<SendSubRequest>();
+    REQUIRE(hedges.size() == 1);
+    while (fixture.targets.takeForCancel(shard.late.target)) { }
+    fixture.reply(hedges.front());
+    const auto cancels = fixture.taken<CancelSubRequest>();
+    REQUIRE(cancels.size() == 1);
+    CHECK_FALSE(cancels.front().via);
+}
