Keep the membership of a cell by probes and gossip

Cause: the instance list lags and tells nothing of a paused or cut-off instance. Change: each node probes one member in each period of 500 ms, directly and then through three others; a silent member is suspected, refutes by a higher incarnation or is dead. Own pauses and own slowness make a node wait longer for others; leaving is announced and passed on at once; members that are dead here but listed are probed now and then, so that halves that parted meet again. Log event 421 tells that a node hears nobody.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -69,6 +69,8 @@
          "A peer message was malformed or not from a member."},
         {LogEvent::PauseNoticed, "PauseNoticed", LogSeverity::Warning,
          "This process did not run for a while; what it held is checked again."},
+        {LogEvent::CutOffNoticed, "CutOffNoticed", LogSeverity::Warning,
+         "No entry instance was heard for a while; this one may be cut off."},
         {LogEvent::ClaimResolved, "ClaimResolved", LogSeverity::Info,
          "A claim whose store reply was lost was read back."},
         {LogEvent::ClaimUncertain, "ClaimUncertain", LogSeverity::Warning,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -45,6 +45,7 @@
     MemberRefuted = 404,
     PeerMessageRefused = 410,
     PauseNoticed = 420,
+    CutOffNoticed = 421,
     ClaimResolved = 500,
     ClaimUncertain = 501,
 };
--- a/logic/membership/member.h
+++ b/logic/membership/member.h
@@ -16,6 +16,9 @@
     Dead,
 };
 
+/// The status' name in logs and reports.
+const char *toString(MemberStatus status);
+
 /// One entry instance of the cell.
 struct Member
 {
--- a/tests/support/coordination_node.h
+++ b/tests/support/coordination_node.h
@@ -65,6 +65,7 @@
         this->membership.onPeerMessage(*received.message, context);
         this->catalogueSync.onPeerMessage(*received.message, context);
     }
+    void on(const StopRequested &, Context &context) { this->membership.announceLeaving(context); }
     void on(const StoreReplied &reply, Context &context)
     {
         this->catalogueSync.onStoreReply(reply, context);
