Add the open-loop load tool

Queries leave at moments drawn beforehand, and latency counts from the intended moment, so that a slow tier cannot slow the load down and look better. Checked so far against wrong plans only, since there is no entry instance yet.

--- /dev/null
+++ b/bench/load_runner.cpp
@@ -0,0 +1,97 @@
+#include "bench/load_runner.h"
+
+#include "bench/answer_check.h"
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace lagoondeck {
+
+namespace {
+
+/// A reply may come this much after the deadline before the query counts as without reply.
+constexpr Duration replyGrace = std::chrono::seconds(3);
+constexpr Duration progressInterval = std::chrono::seconds(1);
+/// Time for the workers to start before the first query.
+constexpr Duration startDelay = std::chrono::milliseconds(200);
+
+std::string writeQuery(const LoadStream &stream, const Arrival &arrival)
+{
+    nlohmann::json query {{"requestId", arrival.requestId},
+                          {"caller", arrival.caller},
+                          {"deadlineMs", toFractionalMilliseconds(stream.deadline)},
+                          {"idempotent", stream.idempotent},
+                          {"body", nlohmann::json::parse(stream.body)}};
+    if (!stream.idempotent) {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        query["shard"] = arrival.shard;
+        query["issuedAtMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    }
+    return query.dump();
+}
+
+} // namespace
+
+LoadRunner::LoadRunner(const LoadPlan &plan, const std::vector<Arrival> &arrivals,
+                       Balancer &balancer)
+    : plan(plan), arrivals(arrivals), balancer(balancer), records(arrivals.size())
+{ }
+
+std::vector<RequestRecord> LoadRunner::run()
+{
+    this->start = Clock::now() + startDelay;
+    std::vector<std::jthread> workers;
+    workers.reserve(this->plan.workers);
+    for (std::uint32_t i = 0; i < this->plan.workers; ++i) {
+        workers.emplace_back([this] { this->work(); });
+    }
+    while (this->done < this->arrivals.size()) {
+        const auto until = Clock::now() + progressInterval;
+        while (this->done < this->arrivals.size() && Clock::now() < until) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        this->showProgress();
+    }
+    workers.clear();
+    return std::move(this->records);
+}
+
+void LoadRunner::work()
+{
+    for (std::size_t number = this->next++; number < this->arrivals.size(); number = this->next++) {
+        std::this_thread::sleep_until(this->start + this->arrivals[number].at);
+        this->sendOne(number);
+        ++this->done;
+    }
+}
+
+void LoadRunner::sendOne(std::size_t number)
+{
+    const Arrival &arrival = this->arrivals[number];
+    const LoadStream &stream = this->plan.streams[arrival.stream];
+    const SendTry sent =
+            this->balancer.send("/v1/queries/" + stream.entry, writeQuery(stream, arrival),
+                                stream.deadline + replyGrace);
+    const auto latency = Clock::now() - (this->start + arrival.at);
+    RequestRecord &record = this->records[number];
+    if (sent.end == SendEnd::Replied) {
+        record = checkAnswer(stream, arrival, sent.reply);
+    } else {
+        record.reason = sent.problem;
+    }
+    record.latency = std::chrono::duration_cast<Duration>(latency);
+    this->answered += record.outcome == SeenOutcome::Answered ? 1 : 0;
+    this->notRun += record.outcome == SeenOutcome::NotRun ? 1 : 0;
+}
+
+void LoadRunner::showProgress() const
+{
+    const std::chrono::duration<double> elapsed = Clock::now() - this->start;
+    std::cerr << "load: " << static_cast<int>(elapsed.count()) << " s, " << this->done << " of "
+              << this->arrivals.size() << " done, " << this->answered << " answered, "
+              << this->notRun << " not run\n";
+}
+
+} // namespace lagoondeck
--- a/bench/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace lagoondeck { }
--- /dev/null
+++ b/bench/testimony.cpp
@@ -0,0 +1,27 @@
+#include "bench/testimony.h"
+
+#include "bench/http_call.h"
+#include "core/json_input.h"
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr Duration callTimeout = std::chrono::seconds(20);
+
+} // namespace
+
+leaf::result<TargetsTestimony> askTargets(const std::string &controlAddress)
+{
+    BOOST_LEAF_AUTO(dump, callHttp(controlAddress, "GET", "/v1/ran", "", callTimeout));
+    BOOST_LEAF_AUTO(text, callHttp(controlAddress, "GET", "/v1/versions", "", callTimeout));
+    BOOST_LEAF_AUTO(versions, parseJson(text));
+    TargetsTestimony testimony;
+    testimony.ran = parseRunDump(dump);
+    versions.get_to(testimony.shardCounts);
+    return testimony;
+}
+
+} // namespace lagoondeck
--- a/standins/run_ledger.cpp
+++ b/standins/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "standins/run_ledger.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace lagoondeck {
 
@@ -8,7 +9,7 @@
                        const std::string &requestId, bool idempotent, std::uint32_t shard,
                        std::uint64_t version)
 {
-    RequestRuns &request = this->requests[service + '\t' + caller + '\t' + requestId];
+    RequestRuns &request = this->requests[runKey(service, caller, requestId)];
     request.idempotent = request.idempotent && idempotent;
     const auto found = std::ranges::find_if(request.shards, [&](const ShardRuns &runs) {
         return runs.shard == shard && runs.version == version;
@@ -35,4 +36,30 @@
     return text;
 }
 
+std::string runKey(const std::string &service, const std::string &caller,
+                   const std::string &requestId)
+{
+    return service + '\t' + caller + '\t' + requestId;
+}
+
+RunsByRequest parseRunDump(const std::string &dump)
+{
+    RunsByRequest requests;
+    std::istringstream lines(dump);
+    for (std::string line; std::getline(lines, line);) {
+        const std::size_t runsAt = line.rfind('\t') + 1;
+        const std::size_t kindAt = line.rfind('\t', runsAt - 2) + 1;
+        RequestRuns &request = requests[line.substr(0, kindAt - 1)];
+        request.idempotent = line.compare(kindAt, runsAt - kindAt, "repeatable\t") == 0;
+        std::istringstream shards(line.substr(runsAt));
+        ShardRuns runs;
+        char mark = 0;
+        while (shards >> runs.shard >> mark >> runs.version >> mark >> runs.runs) {
+            request.shards.push_back(runs);
+            shards >> mark;
+        }
+    }
+    return requests;
+}
+
 } // namespace lagoondeck
--- a/standins/run_ledger.h
+++ b/standins/run_ledger.h
@@ -24,6 +24,9 @@
     std::vector<ShardRuns> shards;
 };
 
+/// What ran, by service, caller and request id parted by tabs.
+using RunsByRequest = std::unordered_map<std::string, RequestRuns>;
+
 /// Records what ran on all stand-in targets, so that lost and doubled work is counted by the side
 /// that did it.
 class RunLedger
@@ -35,11 +38,17 @@
     /// One line a request, fields parted by tabs: service, caller, request id, "repeatable" or
     /// "once", then "shard:version:runs" parted by commas.
     std::string dump() const;
-    std::size_t requestCount() const { return this->requests.size(); }
     void clear() { this->requests.clear(); }
 
 private:
-    std::unordered_map<std::string, RequestRuns> requests;
+    RunsByRequest requests;
 };
 
+/// The key of one request in RunsByRequest.
+std::string runKey(const std::string &service, const std::string &caller,
+                   const std::string &requestId);
+
+/// Reads what RunLedger::dump wrote.
+RunsByRequest parseRunDump(const std::string &dump);
+
 } // namespace lagoondeck
--- a/standins/target_fleet.cpp
+++ b/standins/target_fleet.cpp
@@ -30,6 +30,9 @@
                {},
                {}})
 {
+    for (const ServiceTopology &service : this->topology.services) {
+        this->shardCounts[service.name][std::to_string(service.version)] = service.shards;
+    }
     for (TargetInstance &instance : listTargets(this->topology)) {
         const auto service = std::ranges::find(this->topology.services, instance.service.value,
                                                &ServiceTopology::name);
@@ -66,6 +69,8 @@
         connection.reply(200, {}, this->ledger.dump());
     } else if (route == "GET /v1/targets") {
         connection.reply(200, {}, writeInstanceList(this->list()));
+    } else if (route == "GET /v1/versions") {
+        connection.reply(200, {}, nlohmann::json(this->shardCounts).dump());
     } else if (route == "POST /v1/reset") {
         this->reset();
         connection.reply(204, {}, "");
@@ -173,6 +178,7 @@
     const Duration retire = spread + milliseconds(command, "retireAfterMs", defaultRetireMs);
     std::uniform_int_distribution<Duration::rep> delay(0, spread.count());
     for (Target *target : targets) {
+        this->shardCounts[target->instance().service.value][std::to_string(version)] = shards;
         this->loop.after(Duration(delay(this->random)),
                          [target, version, shards] { target->adoptVersion(version, shards); });
         this->loop.after(retire, [target, version] { target->retireBelow(version); });
--- a/standins/target_fleet.h
+++ b/standins/target_fleet.h
@@ -6,6 +6,8 @@
 #include "standins/target.h"
 #include "standins/topology.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -15,7 +17,8 @@
 namespace lagoondeck {
 
 /// All stand-in targets of a topology in one process, with a control port.
-/// `POST /v1/control`, `GET /v1/counts`, `GET /v1/ran`, `GET /v1/targets`, `POST /v1/reset`.
+/// `POST /v1/control`, `GET /v1/counts`, `GET /v1/ran`, `GET /v1/targets`, `GET /v1/versions`,
+/// `POST /v1/reset`.
 class TargetFleet
 {
 public:
@@ -41,6 +44,8 @@
     EventLoop &loop;
     Topology topology;
     RunLedger ledger;
+    /// Shard counts of every version there was, by service and version.
+    std::map<std::string, std::map<std::string, std::uint32_t>> shardCounts;
     std::mt19937_64 random;
     std::vector<std::unique_ptr<Target>> targets;
     HttpServer control;
