Claim requests that must run at most once in the store before sending

Cause: a request with idempotent=false was sent without asking whether another instance had sent the same id.

Requests too old for the claims' life are refused. No sub-request leaves after its query's deadline; the driver refuses it.

--- a/core/answer.h
+++ b/core/answer.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
     Duration slowestReply {};
     std::uint32_t subRequestsSent = 0;
     std::uint32_t hedgesSent = 0;
+    /// For FailureReason::AlreadyClaimed: what came of the first sending, when it is known.
+    std::optional<Outcome> firstOutcome;
 };
 
 } // namespace lagoondeck
--- a/core/settings.h
+++ b/core/settings.h
@@ -41,6 +41,11 @@
     Duration instanceListInterval = std::chrono::milliseconds(500);
     /// Targets' connection caps are divided by this many instances at least.
     std::uint32_t expectedInstances = 8;
+    /// A claim of a request that must run at most once lasts at least this long; a request older
+    /// than two thirds of it is refused.
+    Duration claimRetention = std::chrono::minutes(15);
+    /// Writes a second that the claims of all instances together may cost the store.
+    double claimWritesPerSecond = 200.0;
     std::string logDirectory;
 };
 
--- a/core/settings_file.cpp
+++ b/core/settings_file.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint64_t largestBody = 16 * 1024 * 1024;
 constexpr std::uint32_t mostCallerThreads = 4096;
 constexpr std::uint32_t mostInstances = 1000;
+constexpr Duration shortestRetention = std::chrono::seconds(3);
+constexpr Duration longestRetention = std::chrono::hours(24);
+constexpr double mostClaimWrites = 10000.0;
 constexpr Duration longestStop = std::chrono::minutes(5);
 
 void readPolicy(FieldReader &reader, PolicyKind &policy)
@@ -49,6 +52,9 @@
     reader.readMilliseconds("instanceListIntervalMs", settings.instanceListInterval,
                             std::chrono::milliseconds(10), std::chrono::minutes(1));
     reader.read("expectedInstances", settings.expectedInstances, 1, mostInstances);
+    reader.readMilliseconds("claimRetentionMs", settings.claimRetention, shortestRetention,
+                            longestRetention);
+    reader.read("claimWritesPerSecond", settings.claimWritesPerSecond, 1.0, mostClaimWrites);
     reader.read("logDirectory", settings.logDirectory);
     reader.refuseUnknown();
     if (!problems.empty()) {
--- a/drivers/caller_codec.cpp
+++ b/drivers/caller_codec.cpp
@@ -106,6 +106,9 @@
                          {"subRequests", answer.subRequestsSent},
                          {"hedges", answer.hedgesSent},
                          {"retryAfterMs", toMilliseconds(answer.retryAfter)}};
+    if (answer.firstOutcome) {
+        json["firstOutcome"] = toString(*answer.firstOutcome);
+    }
     std::string text = json.dump();
     text.pop_back();
     return text + ",\"hits\":" + joinHits(answer.hits) + "}";
--- a/drivers/target_connection_driver.cpp
+++ b/drivers/target_connection_driver.cpp
@@ -110,6 +110,13 @@
     this->write(writeSubRequest(effect, this->instance, this->address));
 }
 
+void TargetConnectionDriver::refuse(AttemptId refused)
+{
+    this->attempt = refused;
+    this->sent = false;
+    this->end(ConnectionEnd::ClosedByUs);
+}
+
 void TargetConnectionDriver::sendCancellation(AttemptId cancelled, Instant now)
 {
     this->state = State::Cancelling;
--- a/drivers/target_connection_driver.h
+++ b/drivers/target_connection_driver.h
@@ -28,6 +28,8 @@
     TargetConnectionDriver &operator=(const TargetConnectionDriver &) = delete;
 
     void send(const SendSubRequest &effect, Instant now);
+    /// Ends the connection without sending the attempt.
+    void refuse(AttemptId attempt);
     void sendCancellation(AttemptId attempt, Instant now);
     void sendHealthCheck(Instant now);
     /// The attempt on this connection was cancelled; its reply must come soon.
--- a/drivers/target_driver.cpp
+++ b/drivers/target_driver.cpp
@@ -48,9 +48,14 @@
 
 void TargetDriver::send(const SendSubRequest &effect, Instant now)
 {
-    if (TargetConnectionDriver *connection = this->find(effect.connection)) {
+    TargetConnectionDriver *connection = this->find(effect.connection);
+    if (connection != nullptr && now <= effect.notAfter) {
         connection->send(effect, now);
         this->dropClosed(effect.connection);
+    } else if (connection != nullptr) {
+        // The process was paused since it decided to send.
+        connection->refuse(effect.attempt);
+        this->dropClosed(effect.connection);
     } else {
         // It ended after the reducer chose it; the event of that end is on its way and named no
         // attempt.
--- a/logic/effects.h
+++ b/logic/effects.h
@@ -34,6 +34,9 @@
     /// The time left to the target.
     Duration deadline {};
     std::shared_ptr<const std::string> body;
+    QueryId query;
+    /// No byte may leave later: the process may have been paused since it decided to send.
+    Instant notAfter = Instant::max();
 };
 
 /// Ask a target to drop an attempt; the reply still comes over the attempt's connection.
--- a/logic/fanout/dispatcher.cpp
+++ b/logic/fanout/dispatcher.cpp
@@ -98,10 +98,11 @@
     work.phase = ShardPhase::Running;
     work.tried.push_back(reservation->target);
     work.attemptsOut.push_back(id);
-    context.emit(SendSubRequest {
-            id, reservation->connection, reservation->target, query.entry.service, work.shard,
-            query.snapshot.version, query.request.requestId, query.request.caller,
-            query.request.idempotent, this->targetBudget(query, context.now), query.request.body});
+    context.emit(SendSubRequest {id, reservation->connection, reservation->target,
+                                 query.entry.service, work.shard, query.snapshot.version,
+                                 query.request.requestId, query.request.caller,
+                                 query.request.idempotent, this->targetBudget(query, context.now),
+                                 query.request.body, query.request.query, query.deadlineAt});
     return true;
 }
 
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -48,7 +48,8 @@
       catalogueSync(this->catalogue, this->membership.view()),
       targets(policy, settings.expectedInstances), admission(policy),
       engine(policy, this->targets,
-             [this](const EntryName &entry) { return this->admission.overloaded(entry); })
+             [this](const EntryName &entry) { return this->admission.overloaded(entry); }),
+      claims(settings)
 { }
 
 std::vector<Effect> Reducer::apply(const Event &event)
@@ -56,6 +57,7 @@
     std::vector<Effect> effects;
     Context context {event.at, event.wall, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event.body);
+    this->finishClaims(context);
     this->observeAnswers(context);
     return effects;
 }
@@ -67,7 +69,8 @@
     this->catalogueSync.start(context);
 }
 
-std::optional<FailureReason> Reducer::unacceptable(const CallerRequest &request) const
+std::optional<FailureReason> Reducer::unacceptable(const CallerRequest &request,
+                                                   WallTime wall) const
 {
     if (this->stopPhase >= StopPhase::Draining) {
         return FailureReason::Stopping;
@@ -78,15 +81,16 @@
     if (this->catalogue.find(request.entry) == nullptr) {
         return FailureReason::UnknownEntry;
     }
-    if (!request.idempotent && (!request.shard || !request.issuedAt)) {
-        return FailureReason::BadRequest;
+    if (!request.idempotent) {
+        const FailureReason reason = this->claims.unacceptable(request, wall);
+        return reason == FailureReason::None ? std::nullopt : std::optional(reason);
     }
     return std::nullopt;
 }
 
 void Reducer::on(const CallerRequest &event, Context &context)
 {
-    if (const auto reason = this->unacceptable(event)) {
+    if (const auto reason = this->unacceptable(event, context.wall)) {
         this->refuse(event, {*reason, retryElsewhereAfter}, context);
         return;
     }
@@ -95,7 +99,29 @@
         this->refuse(event, *refusal, context);
         return;
     }
-    this->engine.start(event, entry, context.now, context);
+    if (event.idempotent) {
+        this->engine.start(event, entry, context.now, context);
+    } else {
+        this->claims.begin(event, entry, context);
+    }
+}
+
+void Reducer::finishClaims(Context &context)
+{
+    for (const ClaimEnd &end : this->claims.takeEnds()) {
+        if (end.reason == FailureReason::None) {
+            this->engine.start(end.request, end.entry, end.arrivedAt, context);
+            continue;
+        }
+        Answer answer;
+        answer.outcome = end.outcome;
+        answer.reason = end.reason;
+        answer.retryAfter = retryElsewhereAfter;
+        answer.elapsed = context.now - end.arrivedAt;
+        answer.firstOutcome = end.firstOutcome;
+        context.emit(AnswerCaller {end.request.query, end.entry.name, end.entry.trafficClass,
+                                   end.request.caller, std::move(answer), true});
+    }
 }
 
 void Reducer::refuse(const CallerRequest &request, Refusal refusal, Context &context)
@@ -107,7 +133,10 @@
     if (const CatalogueEntry *entry = this->catalogue.find(request.entry)) {
         answer.trafficClass = entry->trafficClass;
     }
-    answer.answer.outcome = Outcome::NotRun;
+    // Nothing was sent for it here; but an old request may have been run long ago, and the claim
+    // that would tell is gone.
+    answer.answer.outcome =
+            refusal.reason == FailureReason::RequestTooOld ? Outcome::Unknown : Outcome::NotRun;
     answer.answer.reason = refusal.reason;
     answer.answer.retryAfter = refusal.retryAfter;
     context.emit(std::move(answer));
@@ -118,13 +147,17 @@
     for (std::size_t i = 0; i < context.effects.size(); ++i) {
         const auto *answer = std::get_if<AnswerCaller>(&context.effects[i]);
         if (answer != nullptr && answer->admitted) {
+            const QueryId query = answer->query;
+            const Outcome outcome = answer->answer.outcome;
             this->admission.finished(answer->entry, answer->answer, context);
+            this->claims.onAnswered(query, outcome, context);
         }
     }
 }
 
 void Reducer::on(const CallerGone &event, Context &context)
 {
+    this->claims.onCallerGone(event.query, context);
     this->engine.onCallerGone(event.query, context);
 }
 
@@ -181,11 +214,13 @@
     case TimerKind::Membership:
         this->membership.onTimer(context);
         break;
+    case TimerKind::Claim:
+        this->claims.onTimer(event.timer.key, context);
+        break;
     case TimerKind::StopBound:
         this->completeStopIfIdle(context);
         break;
     case TimerKind::QueueCheck:
-    case TimerKind::Claim:
     case TimerKind::Quarantine:
     case TimerKind::Shares:
         break;
@@ -196,6 +231,7 @@
 {
     this->membership.onInstances(event.list, context);
     this->targets.onInstances(event.list, context);
+    this->claims.setMembers(this->membership.view().others.size() + 1);
     this->engine.pumpAll(context);
 }
 
@@ -207,7 +243,9 @@
 
 void Reducer::on(const StoreReplied &event, Context &context)
 {
-    this->catalogueSync.onStoreReply(event, context);
+    if (!this->catalogueSync.onStoreReply(event, context)) {
+        this->claims.onStoreReply(event, context);
+    }
 }
 
 void Reducer::on(const StopRequested &, Context &context)
@@ -227,7 +265,8 @@
     if (this->stopPhase == StopPhase::Announced && context.now >= this->drainAt) {
         this->stopPhase = StopPhase::Draining;
     }
-    const bool idle = this->engine.queriesInFlight() == 0 && this->engine.attemptsInFlight() == 0;
+    const bool idle = this->engine.queriesInFlight() == 0 && this->engine.attemptsInFlight() == 0
+            && this->claims.pending() == 0;
     const bool bound = context.now >= this->drainAt - announceWindow + this->settings.stopBound;
     if (this->stopPhase == StopPhase::Draining && (idle || bound)) {
         this->stopPhase = StopPhase::Done;
--- a/logic/reducer.h
+++ b/logic/reducer.h
@@ -4,6 +4,7 @@
 #include "logic/admission/admission.h"
 #include "logic/catalogue/catalogue.h"
 #include "logic/catalogue/catalogue_sync.h"
+#include "logic/claims/claims.h"
 #include "logic/context.h"
 #include "logic/effects.h"
 #include "logic/events.h"
@@ -50,8 +51,10 @@
     void on(const StopRequested &event, Context &context);
 
     /// Why a request is not taken, before any limit is asked.
-    std::optional<FailureReason> unacceptable(const CallerRequest &request) const;
+    std::optional<FailureReason> unacceptable(const CallerRequest &request, WallTime wall) const;
     void refuse(const CallerRequest &request, Refusal refusal, Context &context);
+    /// Sends the requests whose claim is held since this event, and answers those refused.
+    void finishClaims(Context &context);
     /// What follows from effects of the parts: admission learns of each answer.
     void observeAnswers(Context &context);
     void completeStopIfIdle(Context &context);
@@ -75,6 +78,7 @@
     TargetTable targets;
     Admission admission;
     QueryEngine engine;
+    Claims claims;
 };
 
 } // namespace lagoondeck
