Add lagoondeckctl: the catalogue by compare-and-swap, status and drain

Cause: operators drive the system only by changing the catalogue, race one another, and lose replies of the store. Change: catalogue list, get, put, delete and history, status and drain. A put takes several files as one transaction with dense revisions. A lost reply is resolved by sending the same transaction again: its compare holds once at most, and otherwise the change is read back by its number and known by its id. A race for one entry is a typed conflict that shows the other's change; races of different entries retry.

--- a/core/catalogue_change.h
+++ b/core/catalogue_change.h
@@ -22,4 +22,13 @@
     bool operator==(const CatalogueChange &) const = default;
 };
 
+/// The last accepted change of the catalogue; no change was made yet when the revision is 0.
+struct CatalogueHead
+{
+    Revision revision;
+    std::string changeId;
+
+    bool operator==(const CatalogueHead &) const = default;
+};
+
 } // namespace lagoondeck
--- a/core/catalogue_codec.cpp
+++ b/core/catalogue_codec.cpp
@@ -166,4 +166,24 @@
     return json.dump();
 }
 
+leaf::result<CatalogueHead> parseCatalogueHead(std::string_view text)
+{
+    BOOST_LEAF_AUTO(json, parseJson(text));
+    std::vector<FieldProblem> problems;
+    CatalogueHead head;
+    FieldReader reader(json, problems);
+    reader.require({"revision", "changeId"});
+    reader.read("revision", head.revision.value, 0, std::numeric_limits<std::uint64_t>::max());
+    reader.read("changeId", head.changeId);
+    if (!problems.empty()) {
+        return leaf::new_error(InvalidInput {std::move(problems)});
+    }
+    return head;
+}
+
+std::string writeCatalogueHead(const CatalogueHead &head)
+{
+    return nlohmann::json {{"revision", head.revision.value}, {"changeId", head.changeId}}.dump();
+}
+
 } // namespace lagoondeck
--- a/core/catalogue_codec.h
+++ b/core/catalogue_codec.h
@@ -22,4 +22,10 @@
 /// Writes one change as JSON that parseCatalogueChange reads.
 std::string writeCatalogueChange(const CatalogueChange &change);
 
+/// Reads the catalogue's head. Fails with MalformedInput or InvalidInput.
+boost::leaf::result<CatalogueHead> parseCatalogueHead(std::string_view text);
+
+/// Writes a head as JSON that parseCatalogueHead reads.
+std::string writeCatalogueHead(const CatalogueHead &head);
+
 } // namespace lagoondeck
--- a/logic/catalogue/catalogue_keys.h
+++ b/logic/catalogue/catalogue_keys.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/catalogue_change.h"
 #include "core/ids.h"
 #include "logic/catalogue/catalogue.h"
 #include "logic/store_operation.h"
@@ -10,13 +11,6 @@
 
 namespace lagoondeck {
 
-/// The catalogue's head as the store holds it; revision 0 when the store has none.
-struct CatalogueHead
-{
-    Revision revision;
-    std::string changeId;
-};
-
 /// What a reading of the whole state found.
 struct StoredCatalogue
 {
--- /dev/null
+++ b/main/lagoondeckctl_main.cpp
@@ -0,0 +1,43 @@
+#include "operator/command_error.h"
+#include "operator/command_line.h"
+#include "operator/commands.h"
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+leaf::result<void> run(const std::vector<std::string> &arguments)
+{
+    BOOST_LEAF_AUTO(line, lagoondeck::parseCommandLine(arguments));
+    if (line.help) {
+        std::cout << lagoondeck::helpText();
+        return {};
+    }
+    if (line.version) {
+        std::cout << "lagoondeckctl " << LAGOONDECK_VERSION << "\n";
+        return {};
+    }
+    return lagoondeck::runWords(line, std::cout);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const bool json = std::ranges::find(arguments, "--json") != arguments.end();
+    const auto onError = [json](const lagoondeck::CommandError &error) {
+        if (json) {
+            std::cout << lagoondeck::toJson(error).dump(2) << "\n";
+        } else {
+            std::cerr << lagoondeck::toText(error);
+        }
+    };
+    return static_cast<int>(lagoondeck::runCommand([&] { return run(arguments); }, onError));
+}
--- /dev/null
+++ b/operator/commands.cpp
@@ -0,0 +1,327 @@
+#include "operator/commands.h"
+
+#include "core/catalogue_codec.h"
+#include "operator/catalogue_client.h"
+#include "operator/command_error.h"
+#include "operator/entry_input.h"
+#include "operator/fleet_client.h"
+#include "operator/status_report.h"
+#include "operator/table.h"
+
+#include <algorithm>
+#include <boost/leaf/error.hpp>
+#include <cstdlib>
+#include <ostream>
+#include <random>
+#include <sstream>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using Words = std::vector<std::string>;
+
+/// A catalogue client with the connection it needs.
+struct CatalogueSession
+{
+    explicit CatalogueSession(const CommandLine &line)
+        : store(line.storeAddress), client(store, line.timeout, line.patience)
+    { }
+
+    StoreSession store;
+    CatalogueClient client;
+};
+
+leaf::result<void> needStore(const CommandLine &line)
+{
+    if (line.storeAddress.empty()) {
+        return leaf::new_error(UsageError {"--store or --settings is needed"});
+    }
+    return {};
+}
+
+leaf::result<void> needInstances(const CommandLine &line)
+{
+    if (line.instanceListAddress.empty()) {
+        return leaf::new_error(UsageError {"--instances or --settings is needed"});
+    }
+    return {};
+}
+
+std::string newChangeId()
+{
+    std::random_device device;
+    std::ostringstream text;
+    text << std::hex << device() << device() << device() << device();
+    return text.str();
+}
+
+std::string authorOf(const CommandLine &line)
+{
+    if (!line.author.empty()) {
+        return line.author;
+    }
+    const char *user = std::getenv("USER");
+    return user == nullptr ? "unknown" : user;
+}
+
+std::string shortNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+std::string timeText(WallTime time)
+{
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(
+            std::chrono::time_point_cast<std::chrono::system_clock::duration>(time));
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    char text[] = "0000-00-00T00:00:00Z";
+    return std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts) > 0 ? text : "";
+}
+
+nlohmann::json changeJson(const CatalogueChange &change)
+{
+    return nlohmann::json::parse(writeCatalogueChange(change));
+}
+
+nlohmann::json changesJson(const std::vector<CatalogueChange> &changes)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const CatalogueChange &change : changes) {
+        json.push_back(changeJson(change));
+    }
+    return json;
+}
+
+std::string entriesTable(const std::vector<CatalogueChange> &changes)
+{
+    Table table({"NAME", "REVISION", "OWNER", "CLASS", "SERVICE", "RATE/S", "CONCURRENCY",
+                 "PRIORITY", "DEADLINE-MS", "MIN-COVERAGE", "HEDGE", "CANARY"});
+    for (const CatalogueChange &change : changes) {
+        if (!change.entry) {
+            continue;
+        }
+        const CatalogueEntry &entry = *change.entry;
+        table.add({entry.name.value, std::to_string(change.revision.value), entry.owner,
+                   entry.trafficClass, entry.service.value, shortNumber(entry.ratePerSecond),
+                   std::to_string(entry.concurrency), std::to_string(entry.priority),
+                   shortNumber(toFractionalMilliseconds(entry.deadline)),
+                   shortNumber(entry.minimumCoverage), shortNumber(entry.hedgeBudget),
+                   entry.canary ? "on" : "off"});
+    }
+    return table.toText();
+}
+
+std::string changesTable(const std::vector<CatalogueChange> &changes)
+{
+    Table table({"REVISION", "ACCEPTED-AT", "AUTHOR", "ENTRY", "WHAT", "CHANGE-ID"});
+    for (const CatalogueChange &change : changes) {
+        table.add({std::to_string(change.revision.value), timeText(change.acceptedAt),
+                   change.author, change.name.value, change.entry ? "put" : "delete",
+                   change.changeId});
+    }
+    return table.toText();
+}
+
+leaf::result<void> listEntries(const CommandLine &line, std::ostream &out)
+{
+    CatalogueSession session(line);
+    BOOST_LEAF_AUTO(inForce, session.client.readInForce());
+    if (line.json) {
+        out << nlohmann::json {{"revision", inForce.head.revision.value},
+                               {"entries", changesJson(inForce.entries)}}
+                        .dump(2)
+            << "\n";
+        return {};
+    }
+    out << entriesTable(inForce.entries) << "catalogue revision " << inForce.head.revision.value
+        << "\n";
+    return {};
+}
+
+leaf::result<void> getEntry(const CommandLine &line, std::ostream &out)
+{
+    CatalogueSession session(line);
+    BOOST_LEAF_AUTO(inForce, session.client.readInForce());
+    const EntryName name {line.words[2]};
+    const auto found = std::ranges::find(inForce.entries, name, &CatalogueChange::name);
+    if (found == inForce.entries.end() || !found->entry) {
+        return leaf::new_error(EntryNotFound {name});
+    }
+    if (line.json) {
+        out << changeJson(*found).dump(2) << "\n";
+        return {};
+    }
+    out << "// revision " << found->revision.value << " by " << found->author << " at "
+        << timeText(found->acceptedAt) << "\n"
+        << nlohmann::json::parse(writeCatalogueEntry(*found->entry)).dump(2) << "\n";
+    return {};
+}
+
+leaf::result<void> showHistory(const CommandLine &line, std::ostream &out)
+{
+    CatalogueSession session(line);
+    BOOST_LEAF_AUTO(inForce, session.client.readInForce());
+    const std::uint64_t last = inForce.head.revision.value;
+    const Revision first {last >= line.limit ? last - line.limit + 1 : 1};
+    BOOST_LEAF_AUTO(changes, session.client.readChanges(first, inForce.head.revision));
+    if (line.json) {
+        out << nlohmann::json {{"revision", last}, {"changes", changesJson(changes)}}.dump(2)
+            << "\n";
+        return {};
+    }
+    out << changesTable(changes);
+    return {};
+}
+
+/// Waits for the last of the changes when the operator asked for it.
+leaf::result<void> waitInForce(const CommandLine &line, Revision revision)
+{
+    if (!line.wait) {
+        return {};
+    }
+    FleetClient fleet(line.instanceListAddress, line.timeout);
+    BOOST_LEAF_AUTO(lacking, fleet.waitInForce(revision, *line.wait));
+    if (!lacking.empty()) {
+        return leaf::new_error(NotInForce {revision, std::move(lacking)});
+    }
+    return {};
+}
+
+leaf::result<void> applyEdits(const CommandLine &line, std::vector<CatalogueEdit> edits,
+                              std::ostream &out)
+{
+    if (line.wait) {
+        BOOST_LEAF_CHECK(needInstances(line));
+    }
+    CatalogueSession session(line);
+    const auto now = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+    const CatalogueEdits request {std::move(edits), authorOf(line), line.expectRevision,
+                                  newChangeId(), now};
+    BOOST_LEAF_AUTO(changes, session.client.apply(request));
+    // The acceptance is told before the wait, which may fail.
+    if (!line.json) {
+        out << changesTable(changes) << std::flush;
+    }
+    BOOST_LEAF_CHECK(waitInForce(line, changes.back().revision));
+    if (line.json) {
+        out << nlohmann::json {{"changes", changesJson(changes)},
+                               {"revision", changes.back().revision.value},
+                               {"inForceEverywhere", line.wait.has_value()}}
+                        .dump(2)
+            << "\n";
+    } else if (line.wait) {
+        out << "in force on every live instance\n";
+    }
+    return {};
+}
+
+leaf::result<void> putEntries(const CommandLine &line, std::ostream &out)
+{
+    BOOST_LEAF_AUTO(entries, readEntryFiles(Words(line.words.begin() + 2, line.words.end())));
+    std::vector<CatalogueEdit> edits;
+    for (CatalogueEntry &entry : entries) {
+        const EntryName name = entry.name;
+        edits.push_back({name, std::move(entry)});
+    }
+    return applyEdits(line, std::move(edits), out);
+}
+
+leaf::result<void> deleteEntries(const CommandLine &line, std::ostream &out)
+{
+    std::vector<CatalogueEdit> edits;
+    for (auto word = line.words.begin() + 2; word != line.words.end(); ++word) {
+        if (std::find(line.words.begin() + 2, word, *word) == word) {
+            edits.push_back({EntryName {*word}, std::nullopt});
+        }
+    }
+    return applyEdits(line, std::move(edits), out);
+}
+
+leaf::result<void> runCatalogue(const CommandLine &line, std::ostream &out)
+{
+    BOOST_LEAF_CHECK(needStore(line));
+    const std::string verb = line.words.size() > 1 ? line.words[1] : "";
+    const std::size_t operands = line.words.size() - std::min<std::size_t>(line.words.size(), 2);
+    if (verb == "list" && operands == 0) {
+        return listEntries(line, out);
+    }
+    if (verb == "get" && operands == 1) {
+        return getEntry(line, out);
+    }
+    if (verb == "history" && operands == 0) {
+        return showHistory(line, out);
+    }
+    if (verb == "put" && operands > 0) {
+        return putEntries(line, out);
+    }
+    if (verb == "delete" && operands > 0) {
+        return deleteEntries(line, out);
+    }
+    return leaf::new_error(UsageError {"catalogue takes list, get NAME, put FILE..., "
+                                       "delete NAME... or history"});
+}
+
+leaf::result<void> showStatus(const CommandLine &line, std::ostream &out)
+{
+    BOOST_LEAF_CHECK(needInstances(line));
+    FleetClient fleet(line.instanceListAddress, line.timeout);
+    BOOST_LEAF_AUTO(nodes, fleet.statuses());
+    if (line.json) {
+        out << statusJson(nodes).dump(2) << "\n";
+        return {};
+    }
+    out << statusTable(nodes);
+    return {};
+}
+
+leaf::result<void> drainInstance(const CommandLine &line, std::ostream &out)
+{
+    BOOST_LEAF_CHECK(needInstances(line));
+    if (line.words.size() != 2) {
+        return leaf::new_error(UsageError {"drain takes one instance"});
+    }
+    FleetClient fleet(line.instanceListAddress, line.timeout);
+    BOOST_LEAF_AUTO(instances, fleet.entries());
+    const InstanceId id {line.words[1]};
+    const auto found = std::ranges::find(instances, id, &EntryInstance::id);
+    if (found == instances.end()) {
+        return leaf::new_error(InstanceNotFound {id});
+    }
+    BOOST_LEAF_CHECK(fleet.drain(*found));
+    if (line.wait && !fleet.waitGone(*found, *line.wait)) {
+        return leaf::new_error(StillRunning {id});
+    }
+    const char *state = line.wait ? "stopped" : "draining";
+    if (line.json) {
+        out << nlohmann::json {{"id", id.value}, {"state", state}}.dump() << "\n";
+    } else {
+        out << id.value << " " << state << "\n";
+    }
+    return {};
+}
+
+} // namespace
+
+leaf::result<void> runWords(const CommandLine &line, std::ostream &out)
+{
+    const std::string command = line.words.empty() ? "" : line.words.front();
+    if (command == "catalogue") {
+        return runCatalogue(line, out);
+    }
+    if (command == "status" && line.words.size() == 1) {
+        return showStatus(line, out);
+    }
+    if (command == "drain") {
+        return drainInstance(line, out);
+    }
+    return leaf::new_error(UsageError {"the commands are catalogue, status and drain"});
+}
+
+} // namespace lagoondeck
