--- a/drivers/entry_node.cpp
+++ b/drivers/entry_node.cpp
@@ -20,7 +20,6 @@
 
 constexpr Duration longestPoll = std::chrono::milliseconds(20);
 constexpr Duration silenceCheckInterval = std::chrono::milliseconds(100);
-constexpr Duration statusInterval = std::chrono::milliseconds(20);
 /// After the last answer is given, its bytes still have to leave.
 constexpr Duration flushBound = std::chrono::seconds(2);
 
@@ -40,10 +39,7 @@
     hooks.post = [this](EventBody body) { this->inbox.post(std::move(body)); };
     hooks.ready = [this] { return this->ready.load(); };
     hooks.stopping = [this] { return this->stopping.load(); };
-    hooks.statusJson = [this] {
-        const std::lock_guard lock(this->statusMutex);
-        return this->statusText;
-    };
+    hooks.statusJson = [this] { return this->askStatus(); };
     hooks.metricsText = [] { return std::string(); };
     return hooks;
 }
@@ -58,7 +54,6 @@
     this->store = std::make_unique<StoreClient>(this->settings.storeAddress, post);
     this->instances = std::make_unique<InstanceListPoller>(
             this->settings.instanceListAddress, this->settings.instanceListInterval, post);
-    this->publishStatus(monotonicNow());
     try {
         this->callers =
                 std::make_unique<CallerServer>(this->settings, this->answers, this->makeHooks());
@@ -99,7 +94,7 @@
     const Instant now = monotonicNow();
     this->collectEvents(now);
     this->applyPending();
-    this->publishStatus(now);
+    this->answerStatusRequests();
     this->poll(monotonicNow());
 }
 
@@ -148,18 +143,33 @@
     return idle || now - *this->stopCompletedAt > flushBound;
 }
 
-void EntryNode::publishStatus(Instant now)
+void EntryNode::answerStatusRequests()
 {
-    if (now - this->statusPublishedAt < statusInterval) {
+    this->ready = this->reducer.ready();
+    this->stopping = this->reducer.stopping();
+    std::vector<std::promise<std::string>> requests;
+    {
+        const std::lock_guard lock(this->statusMutex);
+        requests.swap(this->statusRequests);
+    }
+    if (requests.empty()) {
         return;
     }
-    this->statusPublishedAt = now;
-    const NodeStatus status = this->reducer.status();
-    this->ready = status.ready;
-    this->stopping = status.stopping;
-    std::string text = writeStatus(status);
-    const std::lock_guard lock(this->statusMutex);
-    this->statusText = std::move(text);
+    const std::string text = writeStatus(this->reducer.status());
+    for (std::promise<std::string> &request : requests) {
+        request.set_value(text);
+    }
+}
+
+std::string EntryNode::askStatus()
+{
+    std::future<std::string> answer;
+    {
+        const std::lock_guard lock(this->statusMutex);
+        answer = this->statusRequests.emplace_back().get_future();
+    }
+    const auto wait = std::chrono::seconds(1);
+    return answer.wait_for(wait) == std::future_status::ready ? answer.get() : std::string("{}");
 }
 
 void EntryNode::execute(SendSubRequest &effect)
--- a/drivers/entry_node.h
+++ b/drivers/entry_node.h
@@ -16,10 +16,12 @@
 #include <boost/leaf/result.hpp>
 #include <deque>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoondeck {
 
@@ -65,7 +67,10 @@
     void execute(WriteLog &effect);
     void execute(StopCompleted &effect);
 
-    void publishStatus(Instant now);
+    /// Answers what other threads asked since the last turn.
+    void answerStatusRequests();
+    /// Asks the loop's thread for the status and waits for it; called by any other thread.
+    std::string askStatus();
     CallerServerHooks makeHooks();
 
     Settings settings;
@@ -83,11 +88,10 @@
     bool stopPosted = false;
     std::optional<Instant> stopCompletedAt;
     Instant silenceCheckedAt {};
-    Instant statusPublishedAt {};
     std::atomic<bool> ready {false};
     std::atomic<bool> stopping {false};
-    mutable std::mutex statusMutex;
-    std::string statusText;
+    std::mutex statusMutex;
+    std::vector<std::promise<std::string>> statusRequests;
 };
 
 } // namespace lagoondeck
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -283,13 +283,18 @@
     }
 }
 
+bool Reducer::ready() const
+{
+    return this->catalogueSync.ready() && !this->stopping();
+}
+
 NodeStatus Reducer::status() const
 {
     NodeStatus status;
     status.id = this->settings.id;
     status.failureDomain = this->settings.failureDomain;
-    status.ready = this->catalogueSync.ready() && this->stopPhase == StopPhase::Serving;
-    status.stopping = this->stopPhase != StopPhase::Serving;
+    status.ready = this->ready();
+    status.stopping = this->stopping();
     status.catalogueRevision = this->catalogue.revision();
     for (const auto &[name, entry] : this->catalogue.entries()) {
         status.entries.push_back(name);
--- a/logic/reducer.h
+++ b/logic/reducer.h
@@ -33,6 +33,9 @@
     std::vector<Effect> apply(const Event &event);
 
     NodeStatus status() const;
+    /// It has a catalogue and the platform may send callers to it.
+    bool ready() const;
+    bool stopping() const { return this->stopPhase != StopPhase::Serving; }
 
 private:
     // One handler for each event.
