--- a/bench/balancer.cpp
+++ b/bench/balancer.cpp
@@ -43,6 +43,12 @@
     this->watcher.join();
 }
 
+bool Balancer::hasReady()
+{
+    const std::scoped_lock lock(this->mutex);
+    return !this->ready.empty();
+}
+
 SendTry Balancer::send(const std::string &path, const std::string &body, Duration timeout)
 {
     SendTry result;
--- a/bench/balancer.h
+++ b/bench/balancer.h
@@ -26,6 +26,8 @@
     Balancer(const Balancer &) = delete;
     Balancer &operator=(const Balancer &) = delete;
 
+    /// Says whether any instance was ready so far.
+    bool hasReady();
     /// Sends a query; goes to another instance only when a connection was refused, so that nothing
     /// is sent twice. The timeout holds for one try.
     SendTry send(const std::string &path, const std::string &body, Duration timeout);
--- a/bench/load_result.cpp
+++ b/bench/load_result.cpp
@@ -196,6 +196,7 @@
     json["coverageMin"] = this->coverageMin;
     json["extraLoad"] = this->extraLoad;
     json["goodputRatio"] = this->goodputRatio;
+    json["targets"] = this->targets;
     json["streams"] = std::move(each);
     for (const LatencyBar &bar : latencies.bars()) {
         json["latencyBars"].push_back({{"fromMs", bar.fromMs}, {"count", bar.count}});
@@ -207,6 +208,7 @@
                      const std::vector<RequestRecord> &records, const TargetsTestimony &testimony)
 {
     LoadResult result;
+    result.targets = testimony.counts;
     for (const LoadStream &stream : plan.streams) {
         result.streams.push_back({stream.entry, {}, {}, {}, {}, {}});
     }
--- a/bench/load_result.h
+++ b/bench/load_result.h
@@ -5,6 +5,7 @@
 #include "bench/load_plan.h"
 #include "bench/request_record.h"
 #include "standins/run_ledger.h"
+#include "standins/target_counts.h"
 
 #include <cstdint>
 #include <map>
@@ -20,6 +21,7 @@
     RunsByRequest ran;
     /// Shard counts by service and version.
     std::map<std::string, std::map<std::string, std::uint32_t>> shardCounts;
+    TargetCounts counts;
 };
 
 /// Counts of one stream's queries, or of all.
@@ -69,6 +71,8 @@
     double extraLoad = 0.0;
     /// Whole answers in time, as a part of what was offered and could be served.
     double goodputRatio = 0.0;
+    /// What all targets counted together.
+    TargetCounts targets;
 
     /// Says whether nothing was lost, doubled, mixed or told untruly.
     bool isTrue() const;
--- a/bench/result_file.cpp
+++ b/bench/result_file.cpp
@@ -12,6 +12,7 @@
 #include <iomanip>
 #include <map>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace lagoondeck {
@@ -55,7 +56,7 @@
 std::string formatNumber(double value)
 {
     std::ostringstream text;
-    text << std::setprecision(4) << value;
+    text << std::setprecision(value >= 1000.0 ? 10 : 4) << value;
     return text.str();
 }
 
@@ -111,6 +112,29 @@
     return {};
 }
 
+std::string writeLine(const nlohmann::json &results)
+{
+    constexpr std::array fields {std::pair("sent", "sent"),
+                                 std::pair("answered", "answered"),
+                                 std::pair("not-run", "notRun"),
+                                 std::pair("failed", "failed"),
+                                 std::pair("unknown", "unknown"),
+                                 std::pair("lost", "lost"),
+                                 std::pair("doubled", "doubled"),
+                                 std::pair("mixed-snapshot", "mixedSnapshot"),
+                                 std::pair("false-coverage", "falseCoverage"),
+                                 std::pair("p50-ms", "p50Ms"),
+                                 std::pair("p99-ms", "p99Ms"),
+                                 std::pair("coverage", "coverageMean"),
+                                 std::pair("extra-load", "extraLoad")};
+    std::string line;
+    for (const auto &[name, column] : fields) {
+        line += line.empty() ? "" : " ";
+        line += std::string(name) + " " + formatNumber(results.back().value(column, 0.0));
+    }
+    return line;
+}
+
 std::string writeReport(const nlohmann::json &results)
 {
     std::ostringstream text;
--- a/bench/testimony.cpp
+++ b/bench/testimony.cpp
@@ -18,7 +18,10 @@
     BOOST_LEAF_AUTO(dump, callHttp(controlAddress, "GET", "/v1/ran", "", callTimeout));
     BOOST_LEAF_AUTO(text, callHttp(controlAddress, "GET", "/v1/versions", "", callTimeout));
     BOOST_LEAF_AUTO(versions, parseJson(text));
+    BOOST_LEAF_AUTO(countText, callHttp(controlAddress, "GET", "/v1/counts", "", callTimeout));
+    BOOST_LEAF_AUTO(counts, parseJson(countText));
     TargetsTestimony testimony;
+    counts.at("total").get_to(testimony.counts);
     testimony.ran = parseRunDump(dump);
     versions.get_to(testimony.shardCounts);
     return testimony;
--- a/main/lagoondeck_load_main.cpp
+++ b/main/lagoondeck_load_main.cpp
@@ -31,7 +31,7 @@
 constexpr int exitUnreachable = 3;
 
 constexpr const char *usage = R"(Usage: lagoondeck-load run PLAN [OPTION]...
-       lagoondeck-load report RESULTS
+       lagoondeck-load report|line RESULTS
 Sends queries at their moments, checks every answer, and asks the stand-in targets what ran.
 
   -e, --entries IP:PORT,...  entry instances to send to
@@ -164,6 +164,9 @@
     std::vector<RequestRecord> records;
     {
         Balancer balancer(options.entries, options.instances, plan.connectionsPerInstance);
+        if (!balancer.hasReady()) {
+            return leaf::new_error(CallFailed {"entry instances", "none is ready", false});
+        }
         records = LoadRunner(plan, arrivals, balancer).run();
     }
     BOOST_LEAF_AUTO(testimony, askTargets(options.targets));
@@ -189,11 +192,24 @@
     return 0;
 }
 
+leaf::result<int> line(const Options &options)
+{
+    BOOST_LEAF_AUTO(results, readJsonFile(options.words[1]));
+    if (!results.is_array() || results.empty()) {
+        return leaf::new_error(MalformedInput {"a list of results is expected", 0});
+    }
+    std::cout << writeLine(results) << "\n";
+    return 0;
+}
+
 leaf::result<int> dispatch(const Options &options)
 {
     if (options.words.size() == 2 && options.words[0] == "report") {
         return report(options);
     }
+    if (options.words.size() == 2 && options.words[0] == "line") {
+        return line(options);
+    }
     const bool hasEntries = !options.entries.empty() || !options.instances.empty();
     if (options.words.size() == 2 && options.words[0] == "run" && hasEntries
         && !options.targets.empty()) {
--- a/main/lagoondeck_standin_main.cpp
+++ b/main/lagoondeck_standin_main.cpp
@@ -31,6 +31,7 @@
   -t, --topology FILE    services and targets, JSON with comments (targets, instances)
   -a, --address IP:PORT  where to serve (store, instances); port 0 takes a free one
   -c, --control IP:PORT  where to be controlled (targets, store)
+  -p, --port-offset N    added to the ports of the topology's targets
   -h, --help             show this text
   -V, --version          show the version
 
@@ -44,6 +45,7 @@
     std::string topologyFile;
     std::string address = "127.0.0.1:0";
     std::string control;
+    std::uint32_t portOffset = 0;
 };
 
 EventLoop *signalledLoop = nullptr;
@@ -58,12 +60,13 @@
     constexpr option longOptions[] = {{"topology", required_argument, nullptr, 't'},
                                       {"address", required_argument, nullptr, 'a'},
                                       {"control", required_argument, nullptr, 'c'},
+                                      {"port-offset", required_argument, nullptr, 'p'},
                                       {"help", no_argument, nullptr, 'h'},
                                       {"version", no_argument, nullptr, 'V'},
                                       {}};
     Options options;
     for (int found = 0;
-         (found = getopt_long(argc, argv, "t:a:c:hV", longOptions, nullptr)) != -1;) {
+         (found = getopt_long(argc, argv, "t:a:c:p:hV", longOptions, nullptr)) != -1;) {
         switch (found) {
         case 't':
             options.topologyFile = optarg;
@@ -74,6 +77,9 @@
         case 'c':
             options.control = optarg;
             break;
+        case 'p':
+            options.portOffset = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
+            break;
         case 'h':
             std::cout << usage;
             std::exit(0);
@@ -95,7 +101,7 @@
     std::exit(exitUsage);
 }
 
-Topology loadTopology(const std::string &path)
+Topology readTopology(const std::string &path)
 {
     return boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<Topology> { return readTopologyFile(path); },
@@ -111,9 +117,18 @@
             [&]() -> Topology { refuse(path + ": cannot be used"); });
 }
 
+Topology loadTopology(const Options &options)
+{
+    Topology topology = readTopology(options.topologyFile);
+    for (ServiceTopology &service : topology.services) {
+        service.basePort += service.basePort == 0 ? 0 : options.portOffset;
+    }
+    return topology;
+}
+
 void runTargets(EventLoop &loop, const Options &options)
 {
-    Topology topology = loadTopology(options.topologyFile);
+    Topology topology = loadTopology(options);
     if (!options.control.empty()) {
         topology.controlAddress = options.control;
     }
@@ -137,7 +152,7 @@
 {
     InstanceList list;
     if (!options.topologyFile.empty()) {
-        list.targets = listTargets(loadTopology(options.topologyFile));
+        list.targets = listTargets(loadTopology(options));
     }
     InstanceService instances(loop, options.address, std::move(list));
     instances.start();
--- /dev/null
+++ b/misc/cell.sh
@@ -0,0 +1,118 @@
+# Functions that start and stop a cell on loopback: the stand-ins and its entry instances.
+# The sourcing script sets: bin (programs), work (scratch folder), site, policy.
+# Every process is stopped by its own number.
+
+# LAGOONDECK_PORT_OFFSET moves all ports, so that several cells can run side by side.
+port_offset=${LAGOONDECK_PORT_OFFSET:-0}
+targets_control=127.0.0.1:$((18000 + port_offset))
+store=127.0.0.1:$((18010 + port_offset))
+store_control=127.0.0.1:$((18011 + port_offset))
+instances=127.0.0.1:$((18012 + port_offset))
+declare -A entry_pids=()
+standin_pids=()
+
+post() { curl -sf -o /dev/null -X POST -d "$2" "http://$1"; }
+control_targets() { post "$targets_control/v1/control" "$1"; }
+control_instances() { post "$instances/v1/control" "$1"; }
+control_store() { post "$store_control/v1/control" "$1"; }
+
+# Waits until a path answers 2xx. Usage: wait_for ADDRESS/PATH [SECONDS]
+wait_for() {
+    local tries=$((${2:-10} * 20))
+    until curl -sf -o /dev/null -m 1 "http://$1"; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "no answer from $1" >&2; return 1; }
+        sleep 0.05
+    done
+}
+
+start_standins() {
+    local topology="misc/settings/${site}_topology.json"
+    "$bin/lagoondeck-standin" targets -t "$topology" -p "$port_offset" -c "$targets_control" > "$work/targets.log" 2>&1 &
+    standin_pids+=($!)
+    "$bin/lagoondeck-standin" store -a "$store" -c "$store_control" > "$work/store.log" 2>&1 &
+    standin_pids+=($!)
+    "$bin/lagoondeck-standin" instances -t "$topology" -p "$port_offset" -a "$instances" > "$work/instances.log" 2>&1 &
+    standin_pids+=($!)
+    wait_for "$targets_control/v1/versions"
+    wait_for "$store_control/v1/counts"
+    wait_for "$instances/v1/counts"
+}
+
+# Starts one entry instance and lists it. Usage: start_entry NUMBER
+start_entry() {
+    local number=$1 name="entry-$1" domains=(a b c)
+    local domain="$site-${domains[$((number % 3))]}"
+    local http="127.0.0.1:$((18500 + port_offset + number))" peer="127.0.0.1:$((18600 + port_offset + number))"
+    cat > "$work/$name.json" <<SETTINGS
+{
+  "id": "$name", "failureDomain": "$domain", "httpAddress": "$http", "peerAddress": "$peer",
+  "storeAddress": "$store", "instanceListAddress": "$instances",
+  "peerKey": "lagoondeckdemokeyforloopbackonlynosecret", "policy": "$policy", "seed": $((number + 1)),
+  "callerThreads": 256
+}
+SETTINGS
+    "$bin/lagoondeckd" --settings "$work/$name.json" > "$work/$name.log" 2>&1 &
+    entry_pids[$number]=$!
+    control_instances "{\"entries\":[{\"id\":\"$name\",\"peerAddress\":\"$peer\",\"httpAddress\":\"$http\",\"failureDomain\":\"$domain\",\"state\":\"live\"}]}"
+}
+
+entry_ready() { wait_for "127.0.0.1:$((18500 + port_offset + $1))/v1/ready" "${2:-15}"; }
+
+# Asks one entry instance for a graceful stop and waits for its exit code. Usage: stop_entry NUMBER
+stop_entry() {
+    local pid=${entry_pids[$1]}
+    unset "entry_pids[$1]"
+    control_instances "{\"leaving\":[\"entry-$1\"]}"
+    kill -TERM "$pid"
+    local code=0
+    wait "$pid" || code=$?
+    control_instances "{\"remove\":[\"entry-$1\"]}"
+    return "$code"
+}
+
+b64() { base64 -w0; }
+number_after() { sed -E "s/.*\"$1\":\"?([0-9]+).*/\1/"; }
+
+# Puts each entry file by a compare-and-swap on the head of the catalogue, as docs/PROTOCOLS.md says.
+put_catalogue() {
+    local file name entry head_key range modified revision=0 change reply
+    head_key=$(printf lagoondeck/catalogue/head | b64)
+    for file in "$@"; do
+        range=$(curl -sf -d "{\"key\":\"$head_key\"}" "http://$store/v3/kv/range")
+        modified=0
+        if [[ $range == *mod_revision* ]]; then
+            modified=$(number_after mod_revision <<< "$range")
+            revision=$(sed -E 's/.*"value":"([^"]*)".*/\1/' <<< "$range" | base64 -d | number_after revision)
+        fi
+        revision=$((revision + 1))
+        entry=$(grep -v '^ *//' "$file")
+        name=$(sed -En 's/.*"name": "([^"]*)".*/\1/p' <<< "$entry")
+        change="{\"revision\":$revision,\"changeId\":\"script-$$-$revision\",\"author\":\"script\",\"name\":\"$name\",\"acceptedAtUs\":$(date +%s)000000,\"entry\":$entry}"
+        reply=$(curl -sf -d @- "http://$store/v3/kv/txn" <<TXN
+{"compare":[{"key":"$head_key","target":"MOD","result":"EQUAL","mod_revision":"$modified"}],
+ "success":[
+  {"request_put":{"key":"$head_key","value":"$(printf '{"revision":%d,"changeId":"script-%d-%d"}' "$revision" $$ "$revision" | b64)"}},
+  {"request_put":{"key":"$(printf 'lagoondeck/catalogue/changes/%012d' "$revision" | b64)","value":"$(b64 <<< "$change")"}},
+  {"request_put":{"key":"$(printf 'lagoondeck/catalogue/entries/%s' "$name" | b64)","value":"$(b64 <<< "$change")"}}]}
+TXN
+        )
+        [[ $reply == *'"succeeded":true'* ]] || { echo "$file was not taken: $reply" >&2; return 1; }
+    done
+}
+
+# Stops all that this script started. Safe to call twice.
+stop_cell() {
+    local pids=("${entry_pids[@]}" "${standin_pids[@]}")
+    entry_pids=()
+    standin_pids=()
+    [ "${#pids[@]}" -gt 0 ] || return 0
+    kill -TERM "${pids[@]}" 2> /dev/null || true
+    local tries=100
+    while [ "$tries" -gt 0 ] && kill -0 "${pids[@]}" 2> /dev/null; do
+        tries=$((tries - 1))
+        sleep 0.05
+    done
+    kill -KILL "${pids[@]}" 2> /dev/null || true
+    wait "${pids[@]}" 2> /dev/null || true
+}
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -209,6 +209,8 @@
 
 HttpServer::~HttpServer()
 {
+    // Whoever is told of closed connections may be half gone by now.
+    this->handlers.onClosed = nullptr;
     this->closeAll();
 }
 
@@ -218,7 +220,8 @@
         return;
     }
     this->listener = Poco::Net::ServerSocket();
-    this->listener.bind(Poco::Net::SocketAddress(this->address), true);
+    // The port is not shared: a stand-in left from an earlier run is to be noticed.
+    this->listener.bind(Poco::Net::SocketAddress(this->address), true, false);
     this->listener.listen(listenBacklog);
     this->address = this->listener.address().toString();
     this->loop.watch(this->listener, PollSet::POLL_READ, [this](int) { this->accept(); });
