Run whole reducers in a fake world with several faults at once

Targets with slots, versions and repartitioning, a network that breaks, delays, doubles and forges, the key-value service, the lagging instance list, pauses, crashes and replacements of nodes. The world keeps its own record of what ran and compares every answer with it.

--- /dev/null
+++ b/main/lagoondeck_soak_main.cpp
@@ -0,0 +1,109 @@
+#include "tests/support/fake_world.h"
+#include "tests/support/world_faults.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <getopt.h>
+#include <iostream>
+#include <optional>
+#include <string>
+
+using namespace lagoondeck;
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitUsage = 1;
+constexpr int exitViolated = 4;
+constexpr std::size_t mostViolationsShown = 10;
+
+constexpr const char *usage =
+        "Usage: lagoondeck-soak [--seed N] [--seconds S] [--runs R]\n"
+        "Runs whole entry instances in a made-up world with faults and checks what must hold.\n\n"
+        "  --seed N     the first run's seed, 1 by default; the next run takes the next number\n"
+        "  --seconds S  made-up seconds of load in each run, 60 by default\n"
+        "  --runs R     runs, 1 by default\n"
+        "  --version    prints the version\n"
+        "  --help       prints this text\n";
+
+struct Options
+{
+    std::uint64_t seed = 1;
+    std::uint64_t seconds = 60;
+    std::uint64_t runs = 1;
+};
+
+/// Reads the command line. Empty when the process is to exit with the given code.
+std::optional<Options> readOptions(int argc, char **argv, int &exitCode)
+{
+    static const option longOptions[] = {
+            {"seed", required_argument, nullptr, 's'}, {"seconds", required_argument, nullptr, 't'},
+            {"runs", required_argument, nullptr, 'r'}, {"version", no_argument, nullptr, 'v'},
+            {"help", no_argument, nullptr, 'h'},       {nullptr, 0, nullptr, 0}};
+    Options options;
+    for (int c = 0; (c = getopt_long(argc, argv, "", longOptions, nullptr)) != -1;) {
+        if (c == 's') {
+            options.seed = std::strtoull(optarg, nullptr, 10);
+        } else if (c == 't') {
+            options.seconds = std::strtoull(optarg, nullptr, 10);
+        } else if (c == 'r') {
+            options.runs = std::strtoull(optarg, nullptr, 10);
+        } else {
+            exitCode = c == '?' ? exitUsage : exitOk;
+            (c == '?' ? std::cerr : std::cout)
+                    << (c == 'v' ? "lagoondeck-soak " LAGOONDECK_VERSION "\n" : usage);
+            return std::nullopt;
+        }
+    }
+    return options;
+}
+
+void print(std::uint64_t seed, const WorldCounts &counts)
+{
+    std::cout << "soak: seed " << seed << " sent " << counts.asked << " answered "
+              << counts.answered << " not-run " << counts.notRun << " failed " << counts.failed
+              << " unknown " << counts.unknown << " cut-by-crash " << counts.cutByCrash
+              << " sub-requests " << counts.subRequests << " hedges " << counts.hedges << " runs "
+              << counts.runs << " restarts " << counts.restarts << " events " << counts.events
+              << "\n";
+}
+
+/// Runs one seed; false when something that must hold did not.
+bool run(std::uint64_t seed, const Options &options)
+{
+    FakeWorld world(seed);
+    WorldFaults faults(world);
+    faults.start();
+    world.runFor(std::chrono::seconds(options.seconds));
+    faults.stop();
+    world.finish();
+    print(seed, world.counts());
+    const std::size_t shown = std::min(world.violations().size(), mostViolationsShown);
+    for (std::size_t i = 0; i < shown; ++i) {
+        std::cout << "violated: " << world.violations()[i] << "\n";
+    }
+    if (!world.violations().empty()) {
+        std::cout << "violations: " << world.violations().size() << "\n"
+                  << "replay: lagoondeck-soak --seed " << seed << " --seconds " << options.seconds
+                  << "\n";
+    }
+    return world.violations().empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    int exitCode = exitOk;
+    const auto options = readOptions(argc, argv, exitCode);
+    if (!options) {
+        return exitCode;
+    }
+    for (std::uint64_t i = 0; i < options->runs; ++i) {
+        if (!run(options->seed + i, *options)) {
+            exitCode = exitViolated;
+        }
+    }
+    return exitCode;
+}
--- /dev/null
+++ b/tests/logic/reducer/test_random_runs.cpp
@@ -0,0 +1,85 @@
+#include "tests/support/fake_world.h"
+#include "tests/support/world_faults.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoondeck;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 20261204;
+constexpr std::uint64_t seeds = 16;
+
+std::string joined(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("Whole nodes keep every rule while several faults happen at once")
+{
+    const std::uint64_t seed = firstSeed + GENERATE(range<std::uint64_t>(0, seeds));
+    FakeWorld world(seed);
+    WorldFaults faults(world);
+    faults.start();
+    world.runFor(30s);
+    faults.stop();
+    world.finish();
+    INFO("replay: lagoondeck-soak --seed " << seed << " --seconds 30");
+    INFO(joined(world.violations()));
+    CHECK(world.violations().empty());
+    // The run was worth something.
+    CHECK(world.counts().answered > 1000);
+    CHECK(world.counts().notRun > 0);
+    CHECK(world.counts().hedges > 0);
+}
+
+TEST_CASE("The runs reach the rare paths")
+{
+    std::size_t restarts = 0;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FakeWorld world(seed);
+        WorldFaults faults(world);
+        faults.start();
+        world.runFor(20s);
+        restarts += world.counts().restarts;
+    }
+    CHECK(restarts > 10);
+}
+
+TEST_CASE("Without faults every request is answered whole")
+{
+    FakeWorld world(1);
+    // A repeated request is told so, which is no whole answer.
+    world.resending = false;
+    world.runFor(20s);
+    world.finish();
+    INFO(joined(world.violations()));
+    CHECK(world.violations().empty());
+    const WorldCounts &counts = world.counts();
+    CHECK(counts.asked > 1000);
+    // Some ask for a shard that the index does not have; nothing of those runs.
+    CHECK(counts.failed + counts.unknown <= counts.asked / 100);
+    CHECK(static_cast<double>(counts.hedges) <= 0.05 * static_cast<double>(counts.subRequests));
+}
+
+TEST_CASE("One seed makes one run")
+{
+    const auto eventsOf = [](std::uint64_t seed) {
+        FakeWorld world(seed);
+        WorldFaults faults(world);
+        faults.start();
+        world.runFor(10s);
+        faults.stop();
+        world.finish();
+        return std::tuple(world.counts().events, world.counts().runs, world.counts().answered);
+    };
+    CHECK(eventsOf(5) == eventsOf(5));
+    CHECK(eventsOf(5) != eventsOf(6));
+}
--- /dev/null
+++ b/tests/logic/reducer/test_world_record.cpp
@@ -0,0 +1,134 @@
+#include "tests/support/fake_target.h"
+#include "tests/support/world_record.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoondeck;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t node = 1;
+const SnapshotVersion version {7};
+
+/// A request that two shards ran, and its true answer.
+class RecordFixture
+{
+public:
+    RecordFixture()
+    {
+        this->record.versionMade(version, 2);
+        this->record.versionMade(SnapshotVersion(8), 2);
+        this->request.query = QueryId(1);
+        this->request.requestId = RequestId("r1");
+        this->request.budget = 100ms;
+        this->record.asked(node, this->request, Instant {});
+        this->effect.query = QueryId(1);
+        Answer &answer = this->effect.answer;
+        answer.outcome = Outcome::Answered;
+        answer.coverage.snapshot = version;
+        answer.coverage.shardsNeeded = 2;
+        answer.coverage.shardsAnswered = 2;
+        for (std::uint32_t shard = 0; shard < 2; ++shard) {
+            this->run(ShardId(shard));
+            answer.hits.push_back({0.5, "r1|" + std::to_string(shard) + "|7"});
+            answer.coverage.documentsAnswered += fakeDocuments(ShardId(shard), version);
+        }
+    }
+
+    void run(ShardId shard)
+    {
+        SendSubRequest sent;
+        sent.requestId = this->request.requestId;
+        sent.shard = shard;
+        sent.snapshot = version;
+        this->record.ran(sent);
+    }
+
+    /// What the record finds wrong once the answer has come.
+    std::vector<std::string> found(Duration after = 50ms)
+    {
+        this->record.answered(node, this->effect, Instant {} + after, false);
+        this->record.checkAtEnd();
+        return this->record.violations();
+    }
+
+    WorldRecord record;
+    CallerRequest request;
+    AnswerCaller effect;
+};
+
+} // namespace
+
+TEST_CASE("A true answer is no violation")
+{
+    CHECK(RecordFixture().found().empty());
+}
+
+TEST_CASE("The record finds each kind of wrong answer")
+{
+    RecordFixture fixture;
+    Answer &answer = fixture.effect.answer;
+    SECTION("a mixed snapshot")
+    {
+        answer.hits[1].json = "r1|1|8";
+    }
+    SECTION("another request's hit")
+    {
+        answer.hits[1].json = "r2|1|7";
+    }
+    SECTION("a shard merged twice")
+    {
+        answer.hits[1].json = "r1|0|7";
+    }
+    SECTION("a shard that is not in the hits")
+    {
+        answer.hits.pop_back();
+    }
+    SECTION("too few shards needed")
+    {
+        answer.coverage.shardsNeeded = 1;
+    }
+    SECTION("a shard neither answered nor missing")
+    {
+        answer.coverage.shardsAnswered = 1;
+        answer.outcome = Outcome::Failed;
+    }
+    SECTION("more shards than ran")
+    {
+        answer.coverage.snapshot = SnapshotVersion(8);
+        answer.outcome = Outcome::Failed;
+    }
+    SECTION("a false not-run")
+    {
+        answer = {};
+    }
+    CHECK(fixture.found().size() >= 1);
+}
+
+TEST_CASE("The record finds a late, a second, a lost and a doubled one")
+{
+    RecordFixture fixture;
+    SECTION("late")
+    {
+        CHECK(fixture.found(102ms).size() == 1);
+    }
+    SECTION("second")
+    {
+        fixture.found();
+        CHECK(fixture.found().size() == 1);
+    }
+    SECTION("lost")
+    {
+        fixture.record.checkAtEnd();
+        CHECK(fixture.record.violations().size() == 1);
+    }
+    SECTION("doubled")
+    {
+        fixture.request.query = QueryId(2);
+        fixture.request.idempotent = false;
+        fixture.record.asked(node, fixture.request, Instant {});
+        fixture.run(ShardId(0));
+        CHECK(fixture.record.violations().size() == 1);
+    }
+}
--- /dev/null
+++ b/tests/support/event_schedule.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace lagoondeck {
+
+/// What happens in a fake world, in the order of its made-up time.
+class EventSchedule
+{
+public:
+    Instant now() const { return this->current; }
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        this->at(this->current + delay, std::move(action));
+    }
+
+    void at(Instant instant, std::function<void()> action)
+    {
+        this->actions.emplace(std::pair(std::max(instant, this->current), ++this->last),
+                              std::move(action));
+    }
+
+    /// Does all that is due until the instant.
+    void runUntil(Instant end)
+    {
+        while (!this->actions.empty() && this->actions.begin()->first.first <= end) {
+            auto next = this->actions.extract(this->actions.begin());
+            this->current = next.key().first;
+            next.mapped()();
+        }
+        this->current = std::max(this->current, end);
+    }
+
+private:
+    Instant current {std::chrono::seconds(1)};
+    std::uint64_t last = 0;
+    std::map<std::pair<Instant, std::uint64_t>, std::function<void()>> actions;
+};
+
+} // namespace lagoondeck
--- /dev/null
+++ b/tests/support/fake_target.cpp
@@ -0,0 +1,194 @@
+#include "tests/support/fake_target.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace {
+
+constexpr std::size_t longestQueue = 20;
+constexpr Duration medianService = std::chrono::milliseconds(3);
+constexpr double serviceSigma = 0.4;
+constexpr double tailProbability = 0.01;
+constexpr int tailFactor = 10;
+
+} // namespace
+
+std::uint64_t fakeDocuments(ShardId shard, SnapshotVersion version)
+{
+    return 100 + shard.value * 10 + version.value;
+}
+
+FakeTarget::FakeTarget(TargetInstance info, EventSchedule &schedule, WorldRandom &random,
+                       Hooks hooks)
+    : info(std::move(info)), schedule(schedule), random(random), hooks(std::move(hooks))
+{ }
+
+bool FakeTarget::accept(const Wire &wire)
+{
+    if (this->wires.size() >= this->info.connectionCap) {
+        return false;
+    }
+    this->wires.insert(wire);
+    return true;
+}
+
+void FakeTarget::drop(const Wire &wire)
+{
+    const auto carried = [&](const Job &job) { return job.wire == wire; };
+    this->wires.erase(wire);
+    std::erase_if(this->queue, carried);
+    std::erase_if(this->running, carried);
+    this->runNext();
+}
+
+void FakeTarget::take(const Wire &wire, const SendSubRequest &request)
+{
+    const Job job {wire, request, this->schedule.now() + request.deadline, ++this->lastJob};
+    if (this->leaving) {
+        this->refuse(job, ReplyKind::Draining);
+    } else if (!this->versions.contains(request.snapshot)) {
+        this->refuse(job, ReplyKind::SnapshotRetired);
+    } else if (this->queue.size() >= longestQueue || this->random.chance(this->shedPart)) {
+        this->refuse(job, ReplyKind::Shed);
+    } else {
+        this->queue.push_back(job);
+        this->runNext();
+    }
+}
+
+void FakeTarget::cancel(std::uint64_t node, AttemptId attempt)
+{
+    const auto named = [&](const Job &job) {
+        return job.wire.node == node && job.request.attempt == attempt;
+    };
+    if (const auto found = std::ranges::find_if(this->queue, named); found != this->queue.end()) {
+        this->refuse(*found, ReplyKind::CancelledBeforeRun);
+        this->queue.erase(found);
+    }
+    const auto found = std::ranges::find_if(this->running, named);
+    if (found != this->running.end()) {
+        this->refuse(*found, ReplyKind::CancelledWhileRunning);
+        this->running.erase(found);
+        this->runNext();
+    }
+}
+
+TargetReport FakeTarget::report()
+{
+    TargetReport report;
+    for (const auto &[version, shards] : this->versions) {
+        report.snapshots.push_back({version, shards});
+    }
+    report.leaving = this->leaving;
+    const std::size_t load = this->queue.size() + this->running.size();
+    report.inFlight = static_cast<std::uint32_t>(this->lies ? this->random.number(0, 50) : load);
+    return report;
+}
+
+void FakeTarget::crash()
+{
+    this->alive = false;
+    this->queue.clear();
+    this->running.clear();
+    this->wires.clear();
+    this->hooks.crashed(*this);
+}
+
+void FakeTarget::pauseFor(Duration duration)
+{
+    this->pausedUntil = std::max(this->pausedUntil, this->schedule.now() + duration);
+}
+
+void FakeTarget::whenAwake(std::function<void()> action)
+{
+    if (this->schedule.now() >= this->pausedUntil) {
+        action();
+        return;
+    }
+    this->schedule.at(this->pausedUntil, [this, action = std::move(action)]() mutable {
+        this->whenAwake(std::move(action));
+    });
+}
+
+void FakeTarget::refuse(const Job &job, ReplyKind kind)
+{
+    TargetReplied reply;
+    reply.attempt = job.request.attempt;
+    reply.connection = job.wire.connection;
+    reply.kind = kind;
+    reply.report = this->report();
+    this->hooks.reply(job.wire, std::move(reply));
+}
+
+void FakeTarget::runNext()
+{
+    while (!this->queue.empty() && this->running.size() < this->info.slots) {
+        Job job = std::move(this->queue.front());
+        this->queue.pop_front();
+        if (this->schedule.now() >= job.deadline) {
+            this->refuse(job, ReplyKind::ExpiredBeforeRun);
+        } else {
+            this->begin(std::move(job));
+        }
+    }
+}
+
+void FakeTarget::begin(Job job)
+{
+    this->hooks.ran(job.request, job.wire);
+    const std::uint64_t number = job.number;
+    const bool poison = job.request.body && *job.request.body == poisonBody;
+    Duration time = this->random.logNormal(medianService, serviceSigma);
+    time *= this->random.chance(tailProbability) ? tailFactor : 1;
+    time = Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * this->slowness));
+    this->running.push_back(std::move(job));
+    if (poison) {
+        this->schedule.after(Duration(100), [this] {
+            if (this->alive) {
+                this->crash();
+                this->schedule.after(std::chrono::seconds(1), [this] { this->restart(); });
+            }
+        });
+        return;
+    }
+    this->schedule.after(
+            time, [this, number] { this->whenAwake([this, number] { this->end(number); }); });
+}
+
+void FakeTarget::end(std::uint64_t number)
+{
+    const auto found = std::ranges::find(this->running, number, &Job::number);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Job job = std::move(*found);
+    this->running.erase(found);
+    if (this->schedule.now() > job.deadline) {
+        this->refuse(job, ReplyKind::CancelledWhileRunning);
+    } else if (!this->versions.contains(job.request.snapshot) && this->random.chance(0.5)) {
+        this->refuse(job, ReplyKind::Failed);
+    } else {
+        this->hooks.reply(job.wire, this->answerTo(job));
+    }
+    this->runNext();
+}
+
+TargetReplied FakeTarget::answerTo(const Job &job)
+{
+    TargetReplied reply;
+    reply.attempt = job.request.attempt;
+    reply.connection = job.wire.connection;
+    reply.kind = ReplyKind::Answered;
+    reply.snapshot = job.request.snapshot;
+    reply.documents = fakeDocuments(job.request.shard, job.request.snapshot);
+    reply.serviceTime = medianService;
+    reply.hits = {{0.5,
+                   job.request.requestId.value + "|" + std::to_string(job.request.shard.value) + "|"
+                           + std::to_string(job.request.snapshot.value)}};
+    reply.report = this->report();
+    return reply;
+}
+
+} // namespace lagoondeck
