--- a/misc/lint.sh
+++ b/misc/lint.sh
@@ -7,12 +7,26 @@
 jobs=${LAGOONDECK_JOBS:-$(nproc)}
 git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h' ':!proto' | sort -u | xargs clang-format --dry-run --Werror
 echo "format: clean"
-# Files already linted with the same text, headers and rules are skipped by a stamp of their hash.
-stamps="$build/lint-stamps"
+
+# A file that was clean with the same text, the same headers of ours and the same rules is skipped:
+# a stamp named by the hash of all of them says so. The build knows which headers a file includes.
+stamps=${LAGOONDECK_LINT_STAMPS:-$build/lint-stamps}
 mkdir -p "$stamps"
-headers=$(git ls-files --cached --others --exclude-standard -- '*.h' .clang-tidy | sort -u | xargs cat | sha256sum | cut -c1-16)
-export build stamps headers
-git ls-files --cached --others --exclude-standard -- '*.cpp' ':!proto' ':!tests' | sort -u | xargs -P "$jobs" -I{} bash -c '
-    stamp="$stamps/$(cat "{}" | sha256sum | cut -c1-24)-$headers"
-    [ -e "$stamp" ] || { clang-tidy --quiet -p "$build" "{}" 2> /dev/null && touch "$stamp"; }'
+top=$PWD
+includes=$(mktemp)
+trap 'rm -f "$includes"' EXIT
+ninja -C "$build" -t deps | sed "s|^\( *\)\.\./\.\./|\1$top/|" \
+    | awk -v top="$top/" '
+        /^[^ ].*: #deps/ { file = ""; next }
+        index($1, top) == 1 {
+            name = substr($1, length(top) + 1)
+            if (name ~ /^build\//) next
+            if (file == "") file = name; else print file, name
+        }' > "$includes"
+export stamps includes build
+git ls-files --cached --others --exclude-standard -- '*.cpp' ':!proto' ':!tests' | sort -u \
+    | xargs -P "$jobs" -I{} bash -c '
+        headers=$(awk -v file="{}" "\$1 == file { print \$2 }" "$includes" | sort -u)
+        stamp="$stamps/$(cat "{}" .clang-tidy $headers | sha256sum | cut -c1-32)"
+        [ -e "$stamp" ] || { clang-tidy --quiet -p "$build" "{}" 2> /dev/null && touch "$stamp"; }'
 echo "lint: clean"
