Check settings in depth, count what callers get, refuse spoiled input by type

Cause: an operator needs every wrong setting named with its path; the nodes had no metrics; parsers met only well-formed input. Metrics by class and by a bounded number of callers, as exposition text at /metrics and drawn by lagoondeckctl status. Mended on the way: a comment with a quote hid deep nesting from the check; the parser's message could hold bytes that can't be written as JSON, which broke the answer to a caller; milliseconds with a fraction lost a microsecond when they were read back; a metrics request during the stop could meet a driver that was gone. Conclusion: each parser of ours reads a text or refuses it with a typed error.

--- a/core/field_reader.cpp
+++ b/core/field_reader.cpp
@@ -1,11 +1,28 @@
 #include "core/field_reader.h"
 
+#include "core/near_miss.h"
+
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 #include <utility>
 
 namespace lagoondeck {
 
+namespace {
+
+/// A reader mends the first ones first; a hostile input can't fill the memory with them.
+constexpr std::size_t mostProblems = 100;
+
+std::string shortNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+} // namespace
+
 FieldReader::FieldReader(const nlohmann::json &object, std::vector<FieldProblem> &problems,
                          std::string prefix)
     : object(object), problems(problems), prefix(std::move(prefix)), usable(object.is_object())
@@ -21,7 +38,11 @@
     if (!path.empty() && path.back() == '.') {
         path.pop_back();
     }
-    this->problems.push_back({std::move(path), kind, std::move(detail)});
+    const bool known =
+            std::ranges::find(this->problems, path, &FieldProblem::path) != this->problems.end();
+    if (!known && this->problems.size() < mostProblems) {
+        this->problems.push_back({std::move(path), kind, std::move(detail)});
+    }
 }
 
 const nlohmann::json *FieldReader::find(const char *name)
@@ -50,7 +71,10 @@
     }
     for (const auto &[name, value] : this->object.items()) {
         if (std::ranges::find(this->known, name) == this->known.end()) {
-            this->note(name, FieldProblemKind::UnknownField, "no such field");
+            const std::string nearest = nearestName(name, this->known);
+            this->note(name, FieldProblemKind::UnknownField,
+                       nearest.empty() ? "no such field"
+                                       : "no such field; did you mean " + nearest + "?");
         }
     }
 }
@@ -94,7 +118,7 @@
     const auto number = field->get<double>();
     if (!std::isfinite(number) || number < lowest || number > highest) {
         this->note(name, FieldProblemKind::OutOfRange,
-                   "expected " + std::to_string(lowest) + " to " + std::to_string(highest));
+                   "expected " + shortNumber(lowest) + " to " + shortNumber(highest));
         return;
     }
     value = number;
@@ -135,11 +159,17 @@
 void FieldReader::readMilliseconds(const char *name, Duration &value, Duration lowest,
                                    Duration highest)
 {
+    if (const nlohmann::json *field = this->find(name); field != nullptr && !field->is_number()) {
+        this->note(name, FieldProblemKind::WrongType,
+                   "a number of milliseconds without a unit is expected");
+        return;
+    }
     double milliseconds = toFractionalMilliseconds(value);
     this->read(name, milliseconds, toFractionalMilliseconds(lowest),
                toFractionalMilliseconds(highest));
-    value = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(milliseconds));
+    // Rounded, since a decimal fraction may lie just below the number of microseconds it stands
+    // for.
+    value = std::chrono::round<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
 } // namespace lagoondeck
--- a/core/field_reader.h
+++ b/core/field_reader.h
@@ -38,6 +38,7 @@
 
     /// The field's value when it is there; marks it as known.
     const nlohmann::json *find(const char *name);
+    /// Notes a problem; only the first one of a field is kept.
     void note(std::string_view name, FieldProblemKind kind, std::string detail);
 
 private:
--- a/core/json_input.cpp
+++ b/core/json_input.cpp
@@ -2,9 +2,13 @@
 
 #include "core/errors.h"
 
+#include <algorithm>
 #include <boost/leaf/error.hpp>
 #include <fstream>
 #include <iterator>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace lagoondeck {
 
@@ -15,22 +19,63 @@
 /// Deeper nesting is refused, so that a hostile input can't exhaust the stack.
 constexpr int maximumDepth = 64;
 
-bool tooDeep(std::string_view text)
+/// Walks over the bytes of a JSON text that stand outside of strings and comments.
+class StructureScanner
 {
-    int depth = 0;
-    bool quoted = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (quoted) {
-            if (text[i] == '\\') {
-                ++i;
-            } else if (text[i] == '"') {
-                quoted = false;
+public:
+    explicit StructureScanner(std::string_view text) : text(text) { }
+
+    /// The next such byte; a null byte at the end.
+    char next()
+    {
+        while (this->at < this->text.size()) {
+            const char c = this->text[this->at++];
+            if (c == '"') {
+                this->skipString();
+            } else if (c == '/' && this->at < this->text.size()) {
+                this->skipComment();
+            } else {
+                return c;
+            }
+        }
+        return '\0';
+    }
+
+    bool atEnd() const { return this->at >= this->text.size(); }
+
+private:
+    void skipString()
+    {
+        while (this->at < this->text.size()) {
+            const char c = this->text[this->at++];
+            if (c == '"') {
+                return;
             }
-            continue;
+            this->at += c == '\\' ? 1 : 0;
         }
-        quoted = text[i] == '"';
-        depth += text[i] == '[' || text[i] == '{' ? 1 : 0;
-        depth -= text[i] == ']' || text[i] == '}' ? 1 : 0;
+    }
+
+    void skipComment()
+    {
+        const bool block = this->text[this->at] == '*';
+        const std::string_view end = block ? "*/" : "\n";
+        // A block comment's own star does not end it.
+        const std::size_t found = this->text.find(end, this->at + (block ? 1 : 0));
+        this->at = found == std::string_view::npos ? this->text.size() : found + end.size();
+    }
+
+    std::string_view text;
+    std::size_t at = 0;
+};
+
+bool tooDeep(std::string_view text)
+{
+    int depth = 0;
+    StructureScanner scanner(text);
+    while (!scanner.atEnd()) {
+        const char c = scanner.next();
+        depth += c == '[' || c == '{' ? 1 : 0;
+        depth -= c == ']' || c == '}' ? 1 : 0;
         if (depth > maximumDepth) {
             return true;
         }
@@ -38,6 +83,34 @@
     return false;
 }
 
+/// The parser's message quotes the input, which may hold any bytes.
+std::string printable(std::string text)
+{
+    std::ranges::replace_if(
+            text, [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text;
+}
+
+/// The first name that stands twice in one object; empty when there is none.
+std::string repeatedName(std::string_view text)
+{
+    using Event = nlohmann::json::parse_event_t;
+    std::vector<std::set<std::string>> open;
+    std::string repeated;
+    const auto note = [&](int, Event event, nlohmann::json &parsed) {
+        if (event == Event::object_start) {
+            open.emplace_back();
+        } else if (event == Event::object_end) {
+            open.pop_back();
+        } else if (event == Event::key && !open.back().insert(parsed.get<std::string>()).second) {
+            repeated = parsed.get<std::string>();
+        }
+        return true;
+    };
+    const auto parsed = nlohmann::json::parse(text, note, false, true);
+    return parsed.is_discarded() ? "" : repeated;
+}
+
 } // namespace
 
 leaf::result<nlohmann::json> parseJson(std::string_view text)
@@ -48,7 +121,7 @@
     try {
         return nlohmann::json::parse(text, nullptr, true, true);
     } catch (const nlohmann::json::parse_error &error) {
-        return leaf::new_error(MalformedInput {error.what(), error.byte});
+        return leaf::new_error(MalformedInput {printable(error.what()), error.byte});
     }
 }
 
@@ -59,7 +132,11 @@
         return leaf::new_error(FileUnreadable {path});
     }
     const std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    return parseJson(text);
+    BOOST_LEAF_AUTO(json, parseJson(text));
+    if (const std::string name = repeatedName(text); !name.empty()) {
+        return leaf::new_error(MalformedInput {"the name " + printable(name) + " stands twice", 0});
+    }
+    return json;
 }
 
 } // namespace lagoondeck
--- a/core/settings.h
+++ b/core/settings.h
@@ -23,11 +23,12 @@
     std::string httpAddress;
     /// IP number and port for peer messages.
     std::string peerAddress;
-    /// Addresses of the key-value service, tried in turn.
+    /// Address of the key-value service.
     std::string storeAddress;
     /// Address of the instance list.
     std::string instanceListAddress;
-    /// A secret that all members share; a peer without it is refused.
+    /// A secret that all members share, 40 characters of Z85; a peer without it is refused. Empty
+    /// lets every peer in.
     std::string peerKey;
     PolicyKind policy = PolicyKind::Full;
     /// Seed of the node's random numbers; 0 takes one from the system.
--- a/core/settings_file.cpp
+++ b/core/settings_file.cpp
@@ -1,11 +1,16 @@
 #include "core/settings_file.h"
 
+#include "core/address.h"
 #include "core/errors.h"
 #include "core/field_reader.h"
 #include "core/json_input.h"
 
+#include <algorithm>
 #include <boost/leaf/error.hpp>
+#include <cctype>
 #include <limits>
+#include <optional>
+#include <utility>
 
 namespace lagoondeck {
 
@@ -19,6 +24,11 @@
 constexpr Duration shortestRetention = std::chrono::seconds(3);
 constexpr Duration longestRetention = std::chrono::hours(24);
 constexpr double mostClaimWrites = 10000.0;
+constexpr std::size_t longestName = 64;
+constexpr std::size_t peerKeyLength = 40;
+constexpr std::size_t z85GroupLength = 5;
+constexpr std::string_view z85Alphabet = "0123456789abcdefghijklmnopqrstuvwxyz"
+                                         "ABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()[]{}@%$#";
 constexpr Duration longestStop = std::chrono::minutes(5);
 
 void readPolicy(FieldReader &reader, PolicyKind &policy)
@@ -31,12 +41,82 @@
     policy = name == "baseline" ? PolicyKind::Baseline : PolicyKind::Full;
 }
 
+bool isNameCharacter(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '.' || c == '_';
+}
+
+/// Names go into messages, logs and metrics of other instances.
+void checkName(FieldReader &reader, const char *field, const std::string &name)
+{
+    if (name.empty() || name.size() > longestName || !std::ranges::all_of(name, isNameCharacter)) {
+        reader.note(field, FieldProblemKind::BadFormat,
+                    "expected 1 to 64 letters, digits, '-', '.' and '_'");
+    }
+}
+
+std::optional<Address> checkAddress(FieldReader &reader, const char *field, const std::string &text)
+{
+    auto address = parseAddress(text);
+    if (!address) {
+        reader.note(field, FieldProblemKind::BadFormat,
+                    "expected an IP number and a port from 1 to 65535, for example 127.0.0.1:7101");
+    }
+    return address;
+}
+
+/// Each port of one process is its own, and the platform's services have theirs.
+void checkAddresses(FieldReader &reader, const Settings &settings)
+{
+    const auto http = checkAddress(reader, "httpAddress", settings.httpAddress);
+    const auto peer = checkAddress(reader, "peerAddress", settings.peerAddress);
+    const auto store = checkAddress(reader, "storeAddress", settings.storeAddress);
+    const auto list = checkAddress(reader, "instanceListAddress", settings.instanceListAddress);
+    const auto refuse = [&](const auto &left, const auto &right, const char *field,
+                            const char *other) {
+        if (left && right && clash(*left, *right)) {
+            reader.note(field, FieldProblemKind::Conflict, std::string("clashes with ") + other);
+        }
+    };
+    refuse(peer, http, "peerAddress", "httpAddress");
+    refuse(store, http, "storeAddress", "httpAddress");
+    refuse(store, peer, "storeAddress", "peerAddress");
+    refuse(list, http, "instanceListAddress", "httpAddress");
+    refuse(list, peer, "instanceListAddress", "peerAddress");
+}
+
+/// Z85 writes four bytes as five characters; some groups stand for more than four bytes hold.
+bool isZ85(std::string_view text)
+{
+    std::uint64_t group = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const std::size_t digit = z85Alphabet.find(text[i]);
+        if (digit == std::string_view::npos) {
+            return false;
+        }
+        group = (i % z85GroupLength == 0 ? 0 : group * z85Alphabet.size()) + digit;
+        if (group > std::numeric_limits<std::uint32_t>::max()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void checkPeerKey(FieldReader &reader, const std::string &key)
+{
+    if (!key.empty() && (key.size() != peerKeyLength || !isZ85(key))) {
+        reader.note("peerKey", FieldProblemKind::BadFormat,
+                    "expected 40 characters of Z85; has " + std::to_string(key.size()));
+    }
+}
+
 leaf::result<Settings> settingsFromJson(const nlohmann::json &json)
 {
     Settings settings;
     std::vector<FieldProblem> problems;
     FieldReader reader(json, problems);
-    reader.require({"id", "httpAddress", "peerAddress", "storeAddress", "instanceListAddress"});
+    reader.require({"id", "failureDomain", "httpAddress", "peerAddress", "storeAddress",
+                    "instanceListAddress"});
     reader.read("id", settings.id.value);
     reader.read("failureDomain", settings.failureDomain.value);
     reader.read("httpAddress", settings.httpAddress);
@@ -57,6 +137,12 @@
     reader.read("claimWritesPerSecond", settings.claimWritesPerSecond, 1.0, mostClaimWrites);
     reader.read("logDirectory", settings.logDirectory);
     reader.refuseUnknown();
+    if (reader.isObject()) {
+        checkName(reader, "id", settings.id.value);
+        checkName(reader, "failureDomain", settings.failureDomain.value);
+        checkAddresses(reader, settings);
+        checkPeerKey(reader, settings.peerKey);
+    }
     if (!problems.empty()) {
         return leaf::new_error(InvalidInput {std::move(problems)});
     }
--- a/drivers/entry_node.cpp
+++ b/drivers/entry_node.cpp
@@ -39,11 +39,21 @@
     hooks.post = [this](EventBody body) { this->inbox.post(std::move(body)); };
     hooks.ready = [this] { return this->ready.load(); };
     hooks.stopping = [this] { return this->stopping.load(); };
-    hooks.statusJson = [this] { return this->askStatus(); };
-    hooks.metricsText = [] { return std::string(); };
+    hooks.statusJson = [this] {
+        const auto status = this->askStatus();
+        return status ? writeStatus(*status) : std::string("{}");
+    };
+    hooks.metricsText = [this] { return this->metricsText(); };
     return hooks;
 }
 
+std::string EntryNode::metricsText()
+{
+    const DriverCounts counts {this->store->counts(), this->peers->traffic(),
+                               this->instances->calls()};
+    return this->metrics.text(this->askStatus().value_or(NodeStatus {}), counts);
+}
+
 leaf::result<void> EntryNode::startDrivers()
 {
     const auto post = [this](EventBody body) { this->inbox.post(std::move(body)); };
@@ -77,9 +87,8 @@
         writeLog({LogEvent::InvariantViolated, {{"rule", violation.what()}}});
         return RunEnd::InvariantViolated;
     }
+    // The other drivers stay until the node is destroyed: a request for the metrics may still run.
     this->callers->stop();
-    this->instances.reset();
-    this->store.reset();
     this->peers->stop();
     writeLog({LogEvent::Stopped, {{"id", this->settings.id.value}}});
     return RunEnd::Graceful;
@@ -147,7 +156,7 @@
 {
     this->ready = this->reducer.ready();
     this->stopping = this->reducer.stopping();
-    std::vector<std::promise<std::string>> requests;
+    std::vector<std::promise<NodeStatus>> requests;
     {
         const std::lock_guard lock(this->statusMutex);
         requests.swap(this->statusRequests);
@@ -155,21 +164,22 @@
     if (requests.empty()) {
         return;
     }
-    const std::string text = writeStatus(this->reducer.status());
-    for (std::promise<std::string> &request : requests) {
-        request.set_value(text);
+    const NodeStatus status = this->reducer.status();
+    for (std::promise<NodeStatus> &request : requests) {
+        request.set_value(status);
     }
 }
 
-std::string EntryNode::askStatus()
+std::optional<NodeStatus> EntryNode::askStatus()
 {
-    std::future<std::string> answer;
+    std::future<NodeStatus> answer;
     {
         const std::lock_guard lock(this->statusMutex);
         answer = this->statusRequests.emplace_back().get_future();
     }
     const auto wait = std::chrono::seconds(1);
-    return answer.wait_for(wait) == std::future_status::ready ? answer.get() : std::string("{}");
+    return answer.wait_for(wait) == std::future_status::ready ? std::optional(answer.get())
+                                                              : std::nullopt;
 }
 
 void EntryNode::execute(SendSubRequest &effect)
@@ -199,6 +209,7 @@
 
 void EntryNode::execute(AnswerCaller &effect)
 {
+    this->metrics.record(effect);
     this->answers.fulfil(effect.query, std::move(effect.answer));
 }
 
--- a/drivers/entry_node.h
+++ b/drivers/entry_node.h
@@ -3,6 +3,7 @@
 #include "core/settings.h"
 #include "drivers/caller_server.h"
 #include "drivers/instance_list_poller.h"
+#include "drivers/metrics_page.h"
 #include "drivers/peer_socket.h"
 #include "drivers/pending_answers.h"
 #include "drivers/store_client.h"
@@ -70,8 +71,9 @@
     /// Answers what other threads asked since the last turn.
     void answerStatusRequests();
     /// Asks the loop's thread for the status and waits for it; called by any other thread.
-    std::string askStatus();
+    std::optional<NodeStatus> askStatus();
     CallerServerHooks makeHooks();
+    std::string metricsText();
 
     Settings settings;
     Reducer reducer;
@@ -79,6 +81,7 @@
     TimerQueue timers;
     std::deque<EventBody> pending;
     PendingAnswers answers;
+    MetricsPage metrics;
     Poco::Net::PollSet pollSet;
     TargetDriver targets;
     std::unique_ptr<PeerSocket> peers;
@@ -91,7 +94,7 @@
     std::atomic<bool> ready {false};
     std::atomic<bool> stopping {false};
     std::mutex statusMutex;
-    std::vector<std::promise<std::string>> statusRequests;
+    std::vector<std::promise<NodeStatus>> statusRequests;
 };
 
 } // namespace lagoondeck
--- a/operator/commands.cpp
+++ b/operator/commands.cpp
@@ -5,6 +5,7 @@
 #include "operator/command_error.h"
 #include "operator/entry_input.h"
 #include "operator/fleet_client.h"
+#include "operator/latency_view.h"
 #include "operator/status_report.h"
 #include "operator/table.h"
 
@@ -278,6 +279,13 @@
         return {};
     }
     out << statusTable(nodes);
+    LatencyView latencies;
+    for (const NodeReport &node : nodes) {
+        if (node.reachable) {
+            latencies.add(fleet.metrics(node.instance));
+        }
+    }
+    out << latencies.toText();
     return {};
 }
 
--- /dev/null
+++ b/operator/exposition_reader.cpp
@@ -0,0 +1,123 @@
+#include "operator/exposition_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace lagoondeck {
+
+namespace {
+
+/// Takes text from the front of a line.
+class Scanner
+{
+public:
+    explicit Scanner(std::string_view text) : rest(text) { }
+
+    bool take(char c)
+    {
+        if (this->rest.empty() || this->rest.front() != c) {
+            return false;
+        }
+        this->rest.remove_prefix(1);
+        return true;
+    }
+
+    std::string_view takeUntil(std::string_view stops)
+    {
+        const std::size_t end = std::min(this->rest.find_first_of(stops), this->rest.size());
+        const std::string_view taken = this->rest.substr(0, end);
+        this->rest.remove_prefix(end);
+        return taken;
+    }
+
+    /// The text up to the closing quote, with its escapes undone; empty when there is none.
+    std::optional<std::string> takeQuoted()
+    {
+        std::string text;
+        while (!this->rest.empty()) {
+            char c = this->rest.front();
+            this->rest.remove_prefix(1);
+            if (c == '"') {
+                return text;
+            }
+            if (c == '\\' && !this->rest.empty()) {
+                c = this->rest.front() == 'n' ? '\n' : this->rest.front();
+                this->rest.remove_prefix(1);
+            }
+            text += c;
+        }
+        return std::nullopt;
+    }
+
+    std::string_view remaining() const { return this->rest; }
+
+private:
+    std::string_view rest;
+};
+
+bool takeLabels(Scanner &scanner, std::map<std::string, std::string> &labels)
+{
+    while (!scanner.take('}')) {
+        std::string name(scanner.takeUntil("="));
+        if (!scanner.take('=') || !scanner.take('"')) {
+            return false;
+        }
+        auto value = scanner.takeQuoted();
+        if (!value) {
+            return false;
+        }
+        labels[std::move(name)] = std::move(*value);
+        scanner.take(',');
+    }
+    return true;
+}
+
+std::optional<double> numberOf(std::string_view text)
+{
+    if (text == "+Inf") {
+        return std::numeric_limits<double>::infinity();
+    }
+    double value = 0.0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    return error == std::errc() && rest == end ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<MetricSample> parseMetricSample(std::string_view line)
+{
+    if (line.empty() || line.front() == '#') {
+        return std::nullopt;
+    }
+    MetricSample sample;
+    Scanner scanner(line);
+    sample.name = scanner.takeUntil("{ ");
+    if (scanner.take('{') && !takeLabels(scanner, sample.labels)) {
+        return std::nullopt;
+    }
+    if (sample.name.empty() || !scanner.take(' ')) {
+        return std::nullopt;
+    }
+    const auto value = numberOf(scanner.remaining());
+    if (!value) {
+        return std::nullopt;
+    }
+    sample.value = *value;
+    return sample;
+}
+
+void readMetricSamples(std::string_view page, const std::function<void(const MetricSample &)> &take)
+{
+    while (!page.empty()) {
+        const std::size_t end = std::min(page.find('\n'), page.size());
+        if (const auto sample = parseMetricSample(page.substr(0, end))) {
+            take(*sample);
+        }
+        page.remove_prefix(std::min(end + 1, page.size()));
+    }
+}
+
+} // namespace lagoondeck
--- a/operator/fleet_client.cpp
+++ b/operator/fleet_client.cpp
@@ -36,11 +36,11 @@
     return std::move(reply.body);
 }
 
-leaf::result<NodeStatus> readStatus(const EntryInstance &instance, Duration timeout)
+leaf::result<NodeReport> readStatus(const EntryInstance &instance, Duration timeout)
 {
     const PlatformRequest request {"GET", "/v1/status", ""};
     BOOST_LEAF_AUTO(text, fetch(instance.httpAddress, request, statusOk, timeout));
-    NodeStatus node {instance, true};
+    NodeReport node {instance, true};
     BOOST_LEAF_ASSIGN(node.status, parseJson(text));
     std::vector<FieldProblem> problems;
     FieldReader reader(node.status, problems);
@@ -53,10 +53,10 @@
     return node;
 }
 
-NodeStatus statusOrFailure(const EntryInstance &instance, Duration timeout)
+NodeReport statusOrFailure(const EntryInstance &instance, Duration timeout)
 {
     const auto unreachable = [&](std::string why) {
-        return NodeStatus {instance, false, std::move(why)};
+        return NodeReport {instance, false, std::move(why)};
     };
     return leaf::try_handle_all(
             [&] { return readStatus(instance, timeout); },
@@ -70,9 +70,9 @@
 }
 
 /// Asks several instances at once.
-std::vector<NodeStatus> askAll(const std::vector<EntryInstance> &instances, Duration timeout)
+std::vector<NodeReport> askAll(const std::vector<EntryInstance> &instances, Duration timeout)
 {
-    std::vector<NodeStatus> nodes(instances.size());
+    std::vector<NodeReport> nodes(instances.size());
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
         for (std::size_t i = next++; i < instances.size(); i = next++) {
@@ -87,10 +87,10 @@
     return nodes;
 }
 
-std::vector<Laggard> lackingOf(const std::vector<NodeStatus> &nodes, Revision revision)
+std::vector<Laggard> lackingOf(const std::vector<NodeReport> &nodes, Revision revision)
 {
     std::vector<Laggard> lacking;
-    for (const NodeStatus &node : nodes) {
+    for (const NodeReport &node : nodes) {
         if (!node.reachable || node.catalogueRevision < revision) {
             lacking.push_back(
                     {node.instance.id, node.instance.httpAddress,
@@ -114,7 +114,7 @@
     return std::move(list.entries);
 }
 
-leaf::result<std::vector<NodeStatus>> FleetClient::statuses()
+leaf::result<std::vector<NodeReport>> FleetClient::statuses()
 {
     BOOST_LEAF_AUTO(instances, this->entries());
     return askAll(instances, this->timeout);
--- a/operator/fleet_client.h
+++ b/operator/fleet_client.h
@@ -13,7 +13,7 @@
 namespace lagoondeck {
 
 /// What one entry instance tells of itself.
-struct NodeStatus
+struct NodeReport
 {
     EntryInstance instance;
     /// False: the instance is listed and did not answer.
@@ -44,7 +44,7 @@
     boost::leaf::result<std::vector<EntryInstance>> entries();
 
     /// Asks every entry instance for its status.
-    boost::leaf::result<std::vector<NodeStatus>> statuses();
+    boost::leaf::result<std::vector<NodeReport>> statuses();
 
     /// Waits until every live entry instance of the list reports the revision or a later one, at
     /// most for the bound; returns who does not.
--- a/operator/status_report.cpp
+++ b/operator/status_report.cpp
@@ -23,11 +23,11 @@
 
 } // namespace
 
-std::string statusTable(const std::vector<NodeStatus> &nodes)
+std::string statusTable(const std::vector<NodeReport> &nodes)
 {
     Table table({"INSTANCE", "DOMAIN", "ADDRESS", "LISTED", "ANSWERS", "READY", "REVISION",
                  "IN-FLIGHT", "SNAPSHOT"});
-    for (const NodeStatus &node : nodes) {
+    for (const NodeReport &node : nodes) {
         const EntryInstance &instance = node.instance;
         table.add({instance.id.value, instance.failureDomain.value, instance.httpAddress,
                    stateName(instance.state), node.reachable ? "yes" : "no: " + node.failure,
@@ -37,10 +37,10 @@
     return table.toText();
 }
 
-nlohmann::json statusJson(const std::vector<NodeStatus> &nodes)
+nlohmann::json statusJson(const std::vector<NodeReport> &nodes)
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const NodeStatus &node : nodes) {
+    for (const NodeReport &node : nodes) {
         nlohmann::json item {{"id", node.instance.id.value},
                              {"httpAddress", node.instance.httpAddress},
                              {"failureDomain", node.instance.failureDomain.value},
--- a/operator/status_report.h
+++ b/operator/status_report.h
@@ -9,8 +9,8 @@
 namespace lagoondeck {
 
 /// One row for each entry instance.
-std::string statusTable(const std::vector<NodeStatus> &nodes);
+std::string statusTable(const std::vector<NodeReport> &nodes);
 
-nlohmann::json statusJson(const std::vector<NodeStatus> &nodes);
+nlohmann::json statusJson(const std::vector<NodeReport> &nodes);
 
 } // namespace lagoondeck
