Tell an accepted change as accepted when nobody can be asked about it

Change: after the acceptance every failure to look is NotInForce, exit 7, with the reason. Tests of whole commands on the store's stand-in. Conclusion: exit 5 is said only when nothing was applied.

--- a/operator/command_error.cpp
+++ b/operator/command_error.cpp
@@ -105,7 +105,11 @@
 {
     CommandError error {ExitCode::NotInForce, "not-in-force",
                         "revision " + number(late.revision)
-                                + " is accepted; some instances do not report it yet",
+                                + (late.failure.empty()
+                                           ? " is accepted; some instances do not report it yet"
+                                           : " is accepted; nobody can be asked whether it is in "
+                                             "force: "
+                                                   + late.failure),
                         "it spreads without you; lagoondeckctl status shows who lacks it"};
     error.lacking = late.lacking;
     return error;
--- a/operator/command_error.h
+++ b/operator/command_error.h
@@ -20,11 +20,14 @@
     std::string detail;
 };
 
-/// The change is accepted, and some instances did not report it within the bound.
+/// The change is accepted, and some instances did not report it within the bound, or nobody could
+/// be asked.
 struct NotInForce
 {
     Revision revision;
     std::vector<Laggard> lacking;
+    /// Why nobody could be asked; empty otherwise.
+    std::string failure;
 };
 
 /// The instance is not in the instance list.
--- a/operator/commands.cpp
+++ b/operator/commands.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <cstdlib>
 #include <ostream>
 #include <random>
@@ -181,18 +182,28 @@
     return {};
 }
 
-/// Waits for the last of the changes when the operator asked for it.
+/// Waits for the last of the changes when the operator asked for it. The change is accepted by now,
+/// so that a failure to look is no failure of the change.
 leaf::result<void> waitInForce(const CommandLine &line, Revision revision)
 {
     if (!line.wait) {
         return {};
     }
     FleetClient fleet(line.instanceListAddress, line.timeout);
-    BOOST_LEAF_AUTO(lacking, fleet.waitInForce(revision, *line.wait));
-    if (!lacking.empty()) {
-        return leaf::new_error(NotInForce {revision, std::move(lacking)});
-    }
-    return {};
+    const auto unseen = [&](const std::string &why) -> leaf::result<void> {
+        return leaf::new_error(NotInForce {revision, {}, "the instance list: " + why});
+    };
+    return leaf::try_handle_some(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(lacking, fleet.waitInForce(revision, *line.wait));
+                if (!lacking.empty()) {
+                    return leaf::new_error(NotInForce {revision, std::move(lacking), ""});
+                }
+                return {};
+            },
+            [&](const CallFailed &failed) { return unseen(failed.detail); },
+            [&](const MalformedInput &input) { return unseen(input.detail); },
+            [&](const InvalidInput &input) { return unseen(input.problems.front().detail); });
 }
 
 leaf::result<void> applyEdits(const CommandLine &line, std::vector<CatalogueEdit> edits,
--- /dev/null
+++ b/tests/operator/test_commands.cpp
@@ -0,0 +1,107 @@
+#include "operator/command_error.h"
+#include "operator/commands.h"
+#include "store_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <Poco/Net/ServerSocket.h>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <unistd.h>
+
+using namespace lagoondeck;
+namespace leaf = boost::leaf;
+
+namespace {
+
+/// What one command line brought.
+struct Result
+{
+    ExitCode code = ExitCode::Internal;
+    std::string out;
+    std::optional<CommandError> error;
+};
+
+Result run(const std::vector<std::string> &arguments)
+{
+    Result result;
+    std::ostringstream out;
+    result.code = runCommand(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(line, parseCommandLine(arguments));
+                return runWords(line, out);
+            },
+            [&](const CommandError &error) { result.error = error; });
+    result.out = out.str();
+    return result;
+}
+
+/// An entry in a file that is removed again.
+struct EntryFile
+{
+    EntryFile()
+    {
+        char pattern[] = "/tmp/lagoondeck-test-XXXXXX";
+        ::close(::mkstemp(pattern));
+        this->path = pattern;
+        std::ofstream(this->path)
+                << R"({"name":"a","owner":"o","class":"c","service":"s","limits":{}})";
+    }
+    ~EntryFile() { std::remove(this->path.c_str()); }
+
+    std::string path;
+};
+
+std::string refusingAddress()
+{
+    return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
+}
+
+} // namespace
+
+TEST_CASE("An entry that was put is listed, got, told in the history and deleted")
+{
+    const StoreFixture store;
+    const EntryFile file;
+    const auto catalogue = [&](std::vector<std::string> words) {
+        words.insert(words.begin(), {"--store", store.address(), "--author", "ama", "catalogue"});
+        return run(words);
+    };
+    CHECK(catalogue({"put", file.path}).code == ExitCode::Done);
+    CHECK(catalogue({"list"}).out.find("catalogue revision 1") != std::string::npos);
+    const auto got = nlohmann::json::parse(catalogue({"get", "a", "--json"}).out);
+    CHECK(got["revision"] == 1);
+    CHECK(got["entry"]["owner"] == "o");
+    CHECK(catalogue({"get", "b"}).code == ExitCode::NotFound);
+    CHECK(catalogue({"delete", "a"}).code == ExitCode::Done);
+    const auto history = nlohmann::json::parse(catalogue({"history", "--json"}).out);
+    REQUIRE(history["changes"].size() == 2);
+    CHECK(history["changes"][1]["author"] == "ama");
+    CHECK_FALSE(history["changes"][1].contains("entry"));
+    CHECK(catalogue({"get"}).code == ExitCode::InvalidInput);
+}
+
+TEST_CASE("A change that is accepted is never told as not applied when nobody can be asked")
+{
+    const StoreFixture store;
+    const EntryFile file;
+    const Result result = run({"--store", store.address(), "--instances", refusingAddress(),
+                               "catalogue", "put", file.path, "--wait", "1"});
+    CHECK(result.code == ExitCode::NotInForce);
+    REQUIRE(result.error);
+    CHECK(result.error->message.find("revision 1 is accepted") != std::string::npos);
+    CHECK(run({"--store", store.address(), "catalogue", "list"}).out.find("catalogue revision 1")
+          != std::string::npos);
+}
+
+TEST_CASE("A command without the address it needs is a usage error")
+{
+    CHECK(run({"catalogue", "list"}).code == ExitCode::InvalidInput);
+    CHECK(run({"status"}).code == ExitCode::InvalidInput);
+    CHECK(run({"drain", "e"}).code == ExitCode::InvalidInput);
+    CHECK(run({}).code == ExitCode::InvalidInput);
+    CHECK(run({"--instances", refusingAddress(), "status"}).code == ExitCode::Unavailable);
+}
