Test requests that run at most once on real processes

Cause: the claims were proved in virtual time only. Change: misc/once_test.sh (make once) sends ids to four instances at once, with lost store replies, the store down, paused and killed instances.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD := build/release
 export LAGOONDECK_JOBS := $(JOBS)
 
-.PHONY: all packages build lint test demo bench bench-quick fleet capacity sanitize format proto clean
+.PHONY: once all packages build lint test demo bench bench-quick fleet capacity sanitize format proto clean
 
 all: build
 
@@ -32,6 +32,9 @@
 fleet: build
 	misc/fleet.sh $(BUILD)
 
+once: build
+	misc/once_test.sh $(BUILD)
+
 capacity: build
 	misc/capacity.sh $(BUILD)
 
