Quarantine requests that crash targets, and try unseen ones on one target first

Cause: fan-out lets one request take down a target of every shard, and its caller sends it again.

Change: logic/quarantine. A canary runs on one target of one shard; a member chosen by the fingerprint grants one try at a time in the cell. A request whose two queries lost two targets is refused everywhere for five minutes. Losses of requests that targets had survived before make no suspect, so that a rack that fails does not quarantine what is sent often.

--- a/logic/fanout/hedger.cpp
+++ b/logic/fanout/hedger.cpp
@@ -17,7 +17,7 @@
 
 bool Hedger::mayHedge(const Query &query) const
 {
-    return this->state.policy.hedging && query.request.idempotent;
+    return this->state.policy.hedging && query.request.idempotent && !query.canary;
 }
 
 void Hedger::watch(Query &query, Context &context)
--- a/logic/fanout/query.h
+++ b/logic/fanout/query.h
@@ -91,6 +91,8 @@
     /// Attempts whose target was lost while it may have been running them.
     std::uint32_t targetsLost = 0;
     std::uint32_t restarts = 0;
+    /// Until a target has run the request and lives, only this shard is sent, to one target.
+    std::optional<ShardId> canary;
     /// A shard no longer serves the pinned snapshot.
     bool snapshotGone = false;
     /// When the query is looked at next for late shards.
--- a/logic/fanout/query_engine.cpp
+++ b/logic/fanout/query_engine.cpp
@@ -57,7 +57,7 @@
 QueryEngine::~QueryEngine() = default;
 
 void QueryEngine::start(const CallerRequest &request, const CatalogueEntry &entry,
-                        Instant arrivedAt, Context &context)
+                        Instant arrivedAt, Context &context, bool canary)
 {
     const QueryId id = request.query;
     const auto [found, inserted] =
@@ -65,6 +65,9 @@
     ensure(inserted, Invariant::OneAnswerPerRequest, [&] { return std::to_string(id.value); });
     Query &query = found->second;
     this->parts->pinner.pin(query);
+    if (canary && !query.shards.empty()) {
+        query.canary = query.shards[id.value % query.shards.size()].shard;
+    }
     context.emit(SetTimer {{TimerKind::QueryDeadline, id.value}, query.deadlineAt});
     this->parts->pinner.sendAll(query, context);
     this->parts->hedger.watch(query, context);
@@ -72,6 +75,20 @@
     this->finishTouched(context);
 }
 
+void QueryEngine::releaseCanary(QueryId id, Context &context)
+{
+    Query *query = this->parts->state.find(id);
+    if (query == nullptr || !query->canary) {
+        return;
+    }
+    const ShardId canary = *query->canary;
+    query->canary.reset();
+    this->parts->pinner.sendAll(*query, context, canary);
+    this->parts->hedger.watch(*query, context);
+    this->parts->state.touched.push_back(id);
+    this->finishTouched(context);
+}
+
 void QueryEngine::onReply(const TargetReplied &event, Context &context)
 {
     this->parts->replies.onReply(event, context);
@@ -137,7 +154,8 @@
             continue;
         }
         query->snapshotGone = false;
-        if (query->shardsOpen == 0 || !query->minimumReachable()) {
+        const bool canaryFailed = query->canary && !query->work(*query->canary)->open();
+        if (query->shardsOpen == 0 || canaryFailed || !query->minimumReachable()) {
             this->finish(id, context);
         }
     }
--- a/logic/fanout/query_engine.h
+++ b/logic/fanout/query_engine.h
@@ -26,7 +26,9 @@
 
     /// Starts an admitted query. It is answered by exactly one AnswerCaller effect.
     void start(const CallerRequest &request, const CatalogueEntry &entry, Instant arrivedAt,
-               Context &context);
+               Context &context, bool canary = false);
+    /// The canary's target ran the request and lives: the other shards are sent.
+    void releaseCanary(QueryId query, Context &context);
     void onReply(const TargetReplied &event, Context &context);
     void onConnectionClosed(const ConnectionClosed &event, Context &context);
     void onDeadline(QueryId query, Context &context);
--- a/logic/fanout/reply_taker.cpp
+++ b/logic/fanout/reply_taker.cpp
@@ -139,7 +139,8 @@
         ++query->targetsLost;
     }
     if (ShardWork *work = this->openWork(*query, *attempt)) {
-        const bool mayRetry = !event.sent || query->targetsLost < mostTargetsLost;
+        const bool mayRetry =
+                !event.sent || (!query->canary && query->targetsLost < mostTargetsLost);
         this->retryOrGiveUp(*query, *work, {MissingReason::TargetsLost, mayRetry, !event.sent},
                             context);
     }
--- a/logic/fanout/snapshot_pinner.cpp
+++ b/logic/fanout/snapshot_pinner.cpp
@@ -31,11 +31,17 @@
     query.shardsOpen = query.shardsNeeded;
     query.shardsMissing = 0;
     query.snapshotGone = false;
+    if (query.canary && query.work(*query.canary) == nullptr && !query.shards.empty()) {
+        query.canary = query.shards.front().shard;
+    }
 }
 
-void SnapshotPinner::sendAll(Query &query, Context &context)
+void SnapshotPinner::sendAll(Query &query, Context &context, std::optional<ShardId> sent)
 {
     for (ShardWork &work : query.shards) {
+        if (work.shard == sent || (query.canary && work.shard != *query.canary)) {
+            continue;
+        }
         this->dispatcher.sendOrWait(query, work, context);
         if (query.shardsOpen > 0 && !query.minimumReachable()) {
             // It can't succeed any more; the rest would be wasted.
--- a/logic/fanout/snapshot_pinner.h
+++ b/logic/fanout/snapshot_pinner.h
@@ -20,7 +20,7 @@
     /// Pins the version that new queries read, and lists the needed shards.
     void pin(Query &query);
     /// Sends the first attempt of each shard.
-    void sendAll(Query &query, Context &context);
+    void sendAll(Query &query, Context &context, std::optional<ShardId> sent = std::nullopt);
     /// Starts again on a newer version; false when there is none, or no time for it.
     bool restart(Query &query, Context &context);
 
--- a/logic/invariant.cpp
+++ b/logic/invariant.cpp
@@ -29,6 +29,8 @@
         return "ConnectionCarriesOneAttempt";
     case Invariant::StopCutsNoRequest:
         return "StopCutsNoRequest";
+    case Invariant::CanaryAlone:
+        return "CanaryAlone";
     case Invariant::HedgeWithinBudget:
         return "HedgeWithinBudget";
     }
--- a/logic/invariant.h
+++ b/logic/invariant.h
@@ -20,6 +20,7 @@
     ConnectionCarriesOneAttempt,
     StopCutsNoRequest,
     HedgeWithinBudget,
+    CanaryAlone,
 };
 
 /// The rule's name in logs.
--- /dev/null
+++ b/logic/quarantine/fingerprint.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace lagoondeck {
+
+/// Tells requests of one content apart from others: a hash of the entry's name and the body.
+using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
+
+Fingerprint fingerprintOf(const EntryName &entry, std::string_view body);
+
+} // namespace lagoondeck
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -44,21 +44,31 @@
 Reducer::Reducer(const Settings &settings, Policy policy)
     : settings(settings), policy(policy), random(settings.seed),
       membership(selfOf(settings),
-                 [this](proto::PeerMessage &message) { this->catalogueSync.fillGossip(message); }),
+                 [this](proto::PeerMessage &message) { this->fillGossip(message); }),
       catalogueSync(this->catalogue, this->membership.view()),
       targets(policy, settings.expectedInstances), admission(policy),
       engine(policy, this->targets,
              [this](const EntryName &entry) { return this->admission.overloaded(entry); }),
-      claims(settings)
+      claims(settings), quarantine(this->membership.view())
 { }
 
+void Reducer::fillGossip(proto::PeerMessage &message) const
+{
+    this->catalogueSync.fillGossip(message);
+    this->quarantine.fillGossip(message);
+}
+
 std::vector<Effect> Reducer::apply(const Event &event)
 {
     std::vector<Effect> effects;
     Context context {event.at, event.wall, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event.body);
-    this->finishClaims(context);
-    this->observeAnswers(context);
+    std::size_t observed = 0;
+    do {
+        this->finishClaims(context);
+        this->finishCanaries(context);
+        this->observe(context, std::exchange(observed, effects.size()));
+    } while (observed < effects.size() || this->quarantine.hasReady());
     return effects;
 }
 
@@ -99,10 +109,46 @@
         this->refuse(event, *refusal, context);
         return;
     }
-    if (event.idempotent) {
-        this->engine.start(event, entry, context.now, context);
+    this->runAdmitted(event, entry, context.now, context);
+}
+
+void Reducer::runAdmitted(const CallerRequest &request, const CatalogueEntry &entry,
+                          Instant arrivedAt, Context &context)
+{
+    const Verdict verdict = this->policy.quarantine
+            ? this->quarantine.judge(request, entry, arrivedAt, context)
+            : Verdict::Run;
+    if (verdict == Verdict::Wait) {
+        return;
+    }
+    if (verdict == Verdict::Refuse) {
+        this->answerNotRun(request, entry, arrivedAt, FailureReason::Quarantined, context);
+    } else if (request.idempotent) {
+        this->engine.start(request, entry, arrivedAt, context, verdict == Verdict::RunCanary);
     } else {
-        this->claims.begin(event, entry, context);
+        this->claims.begin(request, entry, context);
+    }
+}
+
+void Reducer::answerNotRun(const CallerRequest &request, const CatalogueEntry &entry,
+                           Instant arrivedAt, FailureReason reason, Context &context)
+{
+    Answer answer;
+    answer.reason = reason;
+    answer.retryAfter = reason == FailureReason::Quarantined ? Duration(0) : retryElsewhereAfter;
+    answer.elapsed = context.now - arrivedAt;
+    context.emit(AnswerCaller {request.query, entry.name, entry.trafficClass, request.caller,
+                               std::move(answer), true});
+}
+
+void Reducer::finishCanaries(Context &context)
+{
+    for (const WaitEnd &end : this->quarantine.takeReady()) {
+        if (end.reason == FailureReason::None) {
+            this->runAdmitted(end.request, end.entry, end.arrivedAt, context);
+        } else {
+            this->answerNotRun(end.request, end.entry, end.arrivedAt, end.reason, context);
+        }
     }
 }
 
@@ -142,15 +188,23 @@
     context.emit(std::move(answer));
 }
 
-void Reducer::observeAnswers(Context &context)
+void Reducer::observe(Context &context, std::size_t first)
 {
-    for (std::size_t i = 0; i < context.effects.size(); ++i) {
-        const auto *answer = std::get_if<AnswerCaller>(&context.effects[i]);
-        if (answer != nullptr && answer->admitted) {
-            const QueryId query = answer->query;
-            const Outcome outcome = answer->answer.outcome;
-            this->admission.finished(answer->entry, answer->answer, context);
-            this->claims.onAnswered(query, outcome, context);
+    // The effects grow while they are read: nothing of one is used after a call that may emit.
+    for (std::size_t i = first; i < context.effects.size(); ++i) {
+        const Effect &effect = context.effects[i];
+        if (const auto *answer = std::get_if<AnswerCaller>(&effect)) {
+            if (answer->admitted) {
+                const QueryId query = answer->query;
+                const Outcome outcome = answer->answer.outcome;
+                this->admission.finished(answer->entry, answer->answer, context);
+                this->claims.onAnswered(query, outcome, context);
+                this->quarantine.onAnswered(query, context);
+            }
+        } else if (const auto *sent = std::get_if<SendSubRequest>(&effect)) {
+            this->quarantine.onSent(*sent, context);
+        } else if (const auto *cancel = std::get_if<CancelSubRequest>(&effect)) {
+            this->quarantine.onCancelled(cancel->attempt);
         }
     }
 }
@@ -158,11 +212,17 @@
 void Reducer::on(const CallerGone &event, Context &context)
 {
     this->claims.onCallerGone(event.query, context);
+    this->quarantine.onCallerGone(event.query, context);
     this->engine.onCallerGone(event.query, context);
 }
 
 void Reducer::on(const TargetReplied &event, Context &context)
 {
+    this->quarantine.onReply(event, context);
+    // A canary that lives is released before its own reply may complete the query.
+    for (const QueryId query : this->quarantine.takeReleased()) {
+        this->engine.releaseCanary(query, context);
+    }
     this->engine.onReply(event, context);
 }
 
@@ -177,6 +237,7 @@
 void Reducer::on(const ConnectionClosed &event, Context &context)
 {
     this->targets.onConnectionClosed(event, context);
+    this->quarantine.onConnectionClosed(event, context);
     this->engine.onConnectionClosed(event, context);
 }
 
@@ -217,11 +278,13 @@
     case TimerKind::Claim:
         this->claims.onTimer(event.timer.key, context);
         break;
+    case TimerKind::Quarantine:
+        this->quarantine.onTimer(context);
+        break;
     case TimerKind::StopBound:
         this->completeStopIfIdle(context);
         break;
     case TimerKind::QueueCheck:
-    case TimerKind::Quarantine:
     case TimerKind::Shares:
         break;
     }
@@ -239,6 +302,7 @@
 {
     this->membership.onPeerMessage(*event.message, context);
     this->catalogueSync.onPeerMessage(*event.message, context);
+    this->quarantine.onPeerMessage(*event.message, context);
 }
 
 void Reducer::on(const StoreReplied &event, Context &context)
@@ -266,7 +330,7 @@
         this->stopPhase = StopPhase::Draining;
     }
     const bool idle = this->engine.queriesInFlight() == 0 && this->engine.attemptsInFlight() == 0
-            && this->claims.pending() == 0;
+            && this->claims.pending() == 0 && this->quarantine.waiting() == 0;
     const bool bound = context.now >= this->drainAt - announceWindow + this->settings.stopBound;
     if (this->stopPhase == StopPhase::Draining && (idle || bound)) {
         this->stopPhase = StopPhase::Done;
--- a/logic/reducer.h
+++ b/logic/reducer.h
@@ -12,6 +12,7 @@
 #include "logic/membership/membership.h"
 #include "logic/node_status.h"
 #include "logic/policy.h"
+#include "logic/quarantine/quarantine.h"
 #include "logic/selection/target_table.h"
 
 #include <optional>
@@ -55,11 +56,19 @@
 
     /// Why a request is not taken, before any limit is asked.
     std::optional<FailureReason> unacceptable(const CallerRequest &request, WallTime wall) const;
+    void fillGossip(proto::PeerMessage &message) const;
     void refuse(const CallerRequest &request, Refusal refusal, Context &context);
+    /// Runs an admitted request, unless it must wait or be refused because of its content.
+    void runAdmitted(const CallerRequest &request, const CatalogueEntry &entry, Instant arrivedAt,
+                     Context &context);
+    void answerNotRun(const CallerRequest &request, const CatalogueEntry &entry, Instant arrivedAt,
+                      FailureReason reason, Context &context);
+    /// Goes on with requests that waited for a canary.
+    void finishCanaries(Context &context);
     /// Sends the requests whose claim is held since this event, and answers those refused.
     void finishClaims(Context &context);
-    /// What follows from effects of the parts: admission learns of each answer.
-    void observeAnswers(Context &context);
+    /// What follows from effects of the parts, from the given one on.
+    void observe(Context &context, std::size_t first);
     void completeStopIfIdle(Context &context);
 
     enum class StopPhase {
@@ -82,6 +91,7 @@
     Admission admission;
     QueryEngine engine;
     Claims claims;
+    Quarantine quarantine;
 };
 
 } // namespace lagoondeck
--- /dev/null
+++ b/tests/logic/quarantine/quarantine_cell.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "logic/context.h"
+#include "logic/membership/member.h"
+#include "logic/quarantine/quarantine.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoondeck {
+
+/// Several nodes' quarantines, a wire between them and targets that die of a body "poison", in
+/// virtual time. A query sends one sub-request a shard, the canary's first.
+class QuarantineCell
+{
+public:
+    static constexpr std::uint32_t shards = 5;
+    static constexpr std::uint32_t replicas = 4;
+
+    QuarantineCell(std::size_t nodeCount, std::uint64_t seed);
+
+    bool canary = false;
+    bool deliverWords = true;
+    std::set<std::size_t> deadNodes;
+    std::set<std::string> lostTargets;
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+
+    void send(std::size_t node, const std::string &body, Duration after);
+    void sendAtRandom(const std::string &body, Duration span);
+    /// These many targets die now with all that they run.
+    void failTargets(std::size_t count);
+    void runFor(Duration time);
+    Verdict judge(std::size_t node, const std::string &body);
+
+private:
+    struct Node
+    {
+        MembershipView view;
+        std::unique_ptr<Quarantine> quarantine;
+        RandomEngine random;
+        IdSource ids;
+    };
+    struct Running
+    {
+        std::size_t node = 0;
+        CallerRequest request;
+        std::set<AttemptId> out;
+        std::map<AttemptId, std::string> targets;
+        std::uint32_t shardsSent = 0;
+        bool canary = false;
+    };
+    using Action = std::function<void(Context &)>;
+
+    void at(Instant when, std::function<void()> action) { this->agenda.emplace(when, action); }
+    void apply(std::size_t node, const Action &action);
+    void carryOut(std::size_t node, std::vector<Effect> &effects);
+    void run(std::size_t node, const CallerRequest &request, Instant arrivedAt, Context &context);
+    void sendShards(Running &query, std::uint32_t count, Context &context);
+    void endAttempt(QueryId query, AttemptId attempt);
+    void loseTarget(QueryId query, AttemptId attempt, const std::string &target);
+    void finish(QueryId query, Context &context);
+    CatalogueEntry entry() const;
+    CallerRequest requestOf(const std::string &body);
+
+    std::mt19937_64 random;
+    std::vector<Node> nodes;
+    std::map<QueryId, Running> queries;
+    std::multimap<Instant, std::function<void()>> agenda;
+    std::uint64_t lastQuery = 0;
+    Instant now = Instant(std::chrono::hours(1));
+};
+
+} // namespace lagoondeck
