--- a/main/lagoondeck_standin_main.cpp
+++ b/main/lagoondeck_standin_main.cpp
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <getopt.h>
 #include <iostream>
+#include <optional>
 #include <string>
 
 using namespace lagoondeck;
@@ -32,6 +33,7 @@
   -a, --address IP:PORT  where to serve (store, instances); port 0 takes a free one
   -c, --control IP:PORT  where to be controlled (targets, store)
   -p, --port-offset N    added to the ports of the topology's targets
+  -s, --seed N           the topology's seed, in place of its own
   -h, --help             show this text
   -V, --version          show the version
 
@@ -46,6 +48,7 @@
     std::string address = "127.0.0.1:0";
     std::string control;
     std::uint32_t portOffset = 0;
+    std::optional<std::uint64_t> seed;
 };
 
 EventLoop *signalledLoop = nullptr;
@@ -61,12 +64,13 @@
                                       {"address", required_argument, nullptr, 'a'},
                                       {"control", required_argument, nullptr, 'c'},
                                       {"port-offset", required_argument, nullptr, 'p'},
+                                      {"seed", required_argument, nullptr, 's'},
                                       {"help", no_argument, nullptr, 'h'},
                                       {"version", no_argument, nullptr, 'V'},
                                       {}};
     Options options;
     for (int found = 0;
-         (found = getopt_long(argc, argv, "t:a:c:p:hV", longOptions, nullptr)) != -1;) {
+         (found = getopt_long(argc, argv, "t:a:c:p:s:hV", longOptions, nullptr)) != -1;) {
         switch (found) {
         case 't':
             options.topologyFile = optarg;
@@ -80,6 +84,9 @@
         case 'p':
             options.portOffset = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
             break;
+        case 's':
+            options.seed = std::strtoull(optarg, nullptr, 10);
+            break;
         case 'h':
             std::cout << usage;
             std::exit(0);
@@ -120,6 +127,7 @@
 Topology loadTopology(const Options &options)
 {
     Topology topology = readTopology(options.topologyFile);
+    topology.seed = options.seed.value_or(topology.seed);
     for (ServiceTopology &service : topology.services) {
         service.basePort += service.basePort == 0 ? 0 : options.portOffset;
     }
--- a/misc/cell.sh
+++ b/misc/cell.sh
@@ -26,9 +26,10 @@
     done
 }
 
+# Usage: start_standins [SEED]
 start_standins() {
     local topology="misc/settings/${site}_topology.json"
-    "$bin/lagoondeck-standin" targets -t "$topology" -p "$port_offset" -c "$targets_control" > "$work/targets.log" 2>&1 &
+    "$bin/lagoondeck-standin" targets -t "$topology" -s "${1:-1}" -p "$port_offset" -c "$targets_control" > "$work/targets.log" 2>&1 &
     standin_pids+=($!)
     "$bin/lagoondeck-standin" store -a "$store" -c "$store_control" > "$work/store.log" 2>&1 &
     standin_pids+=($!)
@@ -71,34 +72,9 @@
     return "$code"
 }
 
-b64() { base64 -w0; }
-number_after() { sed -E "s/.*\"$1\":\"?([0-9]+).*/\1/"; }
-
-# Puts each entry file by a compare-and-swap on the head of the catalogue, as docs/PROTOCOLS.md says.
+# Usage: put_catalogue FILE... with options of lagoondeckctl, if any, before the files.
 put_catalogue() {
-    local file name entry head_key range modified revision=0 change reply
-    head_key=$(printf lagoondeck/catalogue/head | b64)
-    for file in "$@"; do
-        range=$(curl -sf -d "{\"key\":\"$head_key\"}" "http://$store/v3/kv/range")
-        modified=0
-        if [[ $range == *mod_revision* ]]; then
-            modified=$(number_after mod_revision <<< "$range")
-            revision=$(sed -E 's/.*"value":"([^"]*)".*/\1/' <<< "$range" | base64 -d | number_after revision)
-        fi
-        revision=$((revision + 1))
-        entry=$(grep -v '^ *//' "$file")
-        name=$(sed -En 's/.*"name": "([^"]*)".*/\1/p' <<< "$entry")
-        change="{\"revision\":$revision,\"changeId\":\"script-$$-$revision\",\"author\":\"script\",\"name\":\"$name\",\"acceptedAtUs\":$(date +%s)000000,\"entry\":$entry}"
-        reply=$(curl -sf -d @- "http://$store/v3/kv/txn" <<TXN
-{"compare":[{"key":"$head_key","target":"MOD","result":"EQUAL","mod_revision":"$modified"}],
- "success":[
-  {"request_put":{"key":"$head_key","value":"$(printf '{"revision":%d,"changeId":"script-%d-%d"}' "$revision" $$ "$revision" | b64)"}},
-  {"request_put":{"key":"$(printf 'lagoondeck/catalogue/changes/%012d' "$revision" | b64)","value":"$(b64 <<< "$change")"}},
-  {"request_put":{"key":"$(printf 'lagoondeck/catalogue/entries/%s' "$name" | b64)","value":"$(b64 <<< "$change")"}}]}
-TXN
-        )
-        [[ $reply == *'"succeeded":true'* ]] || { echo "$file was not taken: $reply" >&2; return 1; }
-    done
+    "$bin/lagoondeckctl" --store "$store" --instances "$instances" catalogue put "$@" >> "$work/catalogue.log" 2>&1
 }
 
 # Stops all that this script started. Safe to call twice.
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-/// A target that has just started is slower by this factor for this long.
+/// A target that has just come back is slower by this factor.
 constexpr double coldFactor = 3.0;
-constexpr Duration coldTime = std::chrono::seconds(3);
+/// A timer fires late by half the poll's resolution in the mean.
+constexpr Duration meanTimerDelay = std::chrono::microseconds(500);
 /// New work that comes later than this after leaving began is counted apart.
 constexpr Duration leavingGrace = std::chrono::seconds(3);
 const std::string attemptsPath = "/v1/attempts/";
@@ -77,7 +78,7 @@
         return;
     }
     this->leavingSince.reset();
-    this->coldUntil = EventLoop::now() + coldTime;
+    this->coldUntil = EventLoop::now() + this->service.coldTime;
 }
 
 void Target::setPoison(std::string text, Duration downTime)
@@ -328,7 +329,7 @@
     if (this->isCold()) {
         time *= coldFactor;
     }
-    return Duration(static_cast<Duration::rep>(time));
+    return std::max(Duration(0), Duration(static_cast<Duration::rep>(time)) - meanTimerDelay);
 }
 
 HttpHeaders Target::reportHeaders()
--- a/standins/target_fleet.cpp
+++ b/standins/target_fleet.cpp
@@ -19,6 +19,13 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
 }
 
+/// Says whether the server's place in its group, which its name ends with, is of the round.
+bool isOfRound(const TargetInstance &instance, const nlohmann::json &command)
+{
+    const int place = instance.id.value.back() - 'a';
+    return place % command.value("rounds", 1) == command["round"].get<int>();
+}
+
 } // namespace
 
 TargetFleet::TargetFleet(EventLoop &loop, Topology given)
@@ -84,6 +91,14 @@
     try {
         const nlohmann::json command = nlohmann::json::parse(message.body);
         const std::vector<Target *> selected = this->select(command);
+        if (command.at("action") == "list") {
+            InstanceList list;
+            for (const Target *target : selected) {
+                list.targets.push_back(target->instance());
+            }
+            connection.reply(200, {}, writeInstanceList(list));
+            return;
+        }
         if (!this->apply(command.at("action").get<std::string>(), command, selected)) {
             connection.reply(400, {}, R"({"error":"unknown action"})");
             return;
@@ -111,6 +126,9 @@
             && command["failureDomain"] != instance.failureDomain.value) {
             continue;
         }
+        if (command.contains("round") && !isOfRound(instance, command)) {
+            continue;
+        }
         if (!names.empty() && !names.contains(instance.id.value)) {
             continue;
         }
--- a/standins/topology.cpp
+++ b/standins/topology.cpp
@@ -44,6 +44,7 @@
     reader.read("serviceSigma", service.serviceSigma, 0.0, widestSpread);
     reader.read("tailProbability", service.tailProbability, 0.0, 1.0);
     reader.read("tailFactor", service.tailFactor, 1.0, highestFactor);
+    reader.readMilliseconds("coldMs", service.coldTime, Duration(0), std::chrono::minutes(1));
     reader.read("hitsPerShard", service.hitsPerShard, 1, mostHits);
     reader.read("basePort", service.basePort, 0, highestPort);
     reader.read("version", service.version, 1, std::numeric_limits<std::uint64_t>::max());
--- a/standins/topology.h
+++ b/standins/topology.h
@@ -30,6 +30,8 @@
     /// This part of the sub-requests takes tailFactor times as long.
     double tailProbability = 0.0;
     double tailFactor = 5.0;
+    /// A target that came back is slower for this long.
+    Duration coldTime = std::chrono::seconds(1);
     std::uint32_t hitsPerShard = 1;
     /// The first target's port; the others follow. 0 takes free ports.
     std::uint32_t basePort = 0;
