--- a/tests/drivers/test_instance_list_poller.cpp
+++ b/tests/drivers/test_instance_list_poller.cpp
@@ -1,6 +1,6 @@
 #include "drivers/instance_list_poller.h"
 #include "event_collector.h"
-#include "fake_service.h"
+#include "tests/support/fake_service.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +9,7 @@
 #include <atomic>
 
 using namespace lagoondeck;
+using namespace lagoondeck::testing;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
--- a/tests/drivers/test_store_client.cpp
+++ b/tests/drivers/test_store_client.cpp
@@ -1,6 +1,6 @@
 #include "drivers/store_client.h"
 #include "event_collector.h"
-#include "fake_service.h"
+#include "tests/support/fake_service.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 using namespace lagoondeck;
+using namespace lagoondeck::testing;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
--- a/tests/operator/test_commands.cpp
+++ b/tests/operator/test_commands.cpp
@@ -1,10 +1,10 @@
 #include "operator/command_error.h"
 #include "operator/commands.h"
 #include "store_fixture.h"
+#include "tests/support/fake_service.h"
 
 #include <catch2/catch.hpp>
 
-#include <Poco/Net/ServerSocket.h>
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 using namespace lagoondeck;
+using namespace lagoondeck::testing;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -55,11 +56,6 @@
     std::string path;
 };
 
-std::string refusingAddress()
-{
-    return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
-}
-
 } // namespace
 
 TEST_CASE("An entry that was put is listed, got, told in the history and deleted")
