--- a/misc/once_test.sh
+++ b/misc/once_test.sh
@@ -173,6 +173,7 @@
 for i in 1 2 3 4 5 6; do send 0 "kill$i-" "$issued" & done
 sleep 0.01
 kill -KILL "${processes[entry-0]}"
+while kill -0 "${processes[entry-0]}" 2> /dev/null; do sleep 0.02; done
 startEntry 0
 waitFor "127.0.0.1:$httpBase/v1/ready"
 for i in 1 2 3 4 5 6; do sendAll "kill$i-" "$issued"; done
