Divide the limits of a class over the members; measure a fleet of real processes

Cause: a limit of the catalogue holds over the whole cell, and each node admits alone. Change: members exchange what they want of each entry; each divides the limit by the same rule. A part shrinks at once and grows only after 2 s, the time of news; while a member is silent all take equal parts.

--- a/drivers/entry_node.cpp
+++ b/drivers/entry_node.cpp
@@ -41,7 +41,9 @@
     hooks.stopping = [this] { return this->stopping.load(); };
     hooks.statusJson = [this] {
         const auto status = this->askStatus();
-        return status ? writeStatus(*status) : std::string("{}");
+        const ControlCost cost {this->peers->traffic(), this->store->counts(),
+                                this->instances->calls()};
+        return status ? writeStatus(*status, cost) : std::string("{}");
     };
     hooks.metricsText = [this] { return this->metricsText(); };
     return hooks;
--- a/drivers/status_codec.cpp
+++ b/drivers/status_codec.cpp
@@ -4,7 +4,27 @@
 
 namespace lagoondeck {
 
-std::string writeStatus(const NodeStatus &status)
+namespace {
+
+nlohmann::json costToJson(const ControlCost &cost)
+{
+    const StoreCallCounts &store = cost.store;
+    return {{"peerMessagesIn", cost.peers.messagesIn},
+            {"peerMessagesOut", cost.peers.messagesOut},
+            {"peerBytesIn", cost.peers.bytesIn},
+            {"peerBytesOut", cost.peers.bytesOut},
+            {"peerMessagesDropped", cost.peers.dropped},
+            {"peerMessagesRefused", cost.peers.refused},
+            {"storeReads", store.ranges},
+            {"storeWrites", store.transactions + store.leaseGrants},
+            {"storeWatchesOpen", store.openWatches},
+            {"storeFailures", store.failures},
+            {"instanceListReads", cost.instanceListReads}};
+}
+
+} // namespace
+
+std::string writeStatus(const NodeStatus &status, const ControlCost &cost)
 {
     nlohmann::json entries = nlohmann::json::array();
     for (const EntryName &entry : status.entries) {
@@ -27,7 +47,8 @@
                            {"targetsLeaving", status.targetsLeaving},
                            {"connections", status.connections},
                            {"queriesInFlight", status.queriesInFlight},
-                           {"attemptsInFlight", status.attemptsInFlight}}
+                           {"attemptsInFlight", status.attemptsInFlight},
+                           {"control", costToJson(cost)}}
             .dump();
 }
 
--- a/logic/membership/membership.h
+++ b/logic/membership/membership.h
@@ -43,6 +43,8 @@
 
     /// The members that are not dead. The reference stays valid.
     const MembershipView &view() const { return this->table.view(); }
+    /// Members that are dead here although the platform lists them; they may only be cut off.
+    std::vector<Member> listedDead() const { return this->table.listedDead(); }
     /// Whether no other member was heard for a while although there are some.
     bool cutOff() const { return this->cutOffNoticed; }
 
--- a/tests/support/cell.h
+++ b/tests/support/cell.h
@@ -44,13 +44,14 @@
         }
     }
 
-    CatalogueChange change(const std::string &name)
+    CatalogueChange change(const std::string &name, double rate = 100.0)
     {
         CatalogueEntry entry;
         entry.name = EntryName(name);
         entry.owner = "owner";
         entry.trafficClass = "class";
         entry.service = ServiceName("service");
+        entry.ratePerSecond = rate;
         return this->store.change(entry, "change-" + std::to_string(++this->changes));
     }
 
--- a/tests/support/coordination_node.h
+++ b/tests/support/coordination_node.h
@@ -4,6 +4,7 @@
 #include "logic/context.h"
 #include "logic/events.h"
 #include "logic/membership/membership.h"
+#include "logic/shares/shares.h"
 #include "proto/peer.pb.h"
 
 #include <memory>
@@ -22,7 +23,7 @@
                                    [this](proto::PeerMessage &message) {
                                        this->catalogueSync.fillGossip(message);
                                    }),
-          catalogueSync(catalogue, membership.view())
+          catalogueSync(catalogue, membership.view()), shares(catalogue, membership)
     { }
 
     std::vector<Effect> apply(const Event &event)
@@ -41,12 +42,14 @@
     Membership membership;
     Catalogue catalogue;
     CatalogueSync catalogueSync;
+    Shares shares;
 
 private:
     void on(const ProcessStarted &, Context &context)
     {
         this->membership.start(context);
         this->catalogueSync.start(context);
+        this->shares.start(context);
     }
     void on(const TimerFired &fired, Context &context)
     {
@@ -54,6 +57,8 @@
             this->catalogueSync.onTimer(context);
         } else if (fired.timer.kind == TimerKind::Membership) {
             this->membership.onTimer(context);
+        } else if (fired.timer.kind == TimerKind::Shares) {
+            this->shares.onTimer(context);
         }
     }
     void on(const InstancesListed &listed, Context &context)
@@ -64,6 +69,7 @@
     {
         this->membership.onPeerMessage(*received.message, context);
         this->catalogueSync.onPeerMessage(*received.message, context);
+        this->shares.onPeerMessage(*received.message, context);
     }
     void on(const StopRequested &, Context &context) { this->membership.announceLeaving(context); }
     void on(const StoreReplied &reply, Context &context)
