--- a/misc/capacity.sh
+++ b/misc/capacity.sh
@@ -7,7 +7,7 @@
 bin="${1:-build/release}/bin"
 source misc/fleet_library.sh
 readonly page=docs/CAPACITY.md
-quietSeconds=8
+quietSeconds=6
 readonly settleSeconds=5
 readonly nodeSizes=(8 16 32 60) targetSizes=(96 192 384 768) entrySizes=(10 100 400 1000)
 readonly changeRates=(0 1 2 4)
@@ -53,7 +53,7 @@
         startStore
         startList ""
         startNodes "$size"
-        sleep $((settleSeconds * 2))
+        sleep 8
         measureSize "$size"
         stopAll
     done
--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -10,7 +10,7 @@
 [ "$#" -gt 0 ] || sizes=(6 8 60)
 
 readonly spacing=0.4 changesPerPhase=8
-readonly inForceBound=11
+readonly inForceBound=11 sharedLimit=100
 source misc/fleet_library.sh
 
 # Puts one entry. Writes the time before the command, the revision and the command's exit code.
@@ -71,6 +71,57 @@
         "$work/lives" "$work/applied" "$work/changes" > "$work/evaluated"
 }
 
+# Asks one node for an entry again and again until stopped; writes the status of each answer.
+askSteadily() {
+    local url="http://127.0.0.1:$((httpBase + ${1#entry-}))/v1/queries/shared" number=0
+    while true; do
+        number=$((number + 1))
+        curl -s -m 2 -o /dev/null -w '%{http_code}\n' -d "{\"requestId\":\"$1-$2-$number\",\"caller\":\"fleet\"}" "$url" || true
+    done
+}
+
+startAskers() {
+    for asker in 1 2 3 4 5 6; do
+        start "asker-$asker" askSteadily "$1" "$asker"
+    done
+}
+
+stopAskers() {
+    for asker in 1 2 3 4 5 6; do
+        kill -KILL "${processes[asker-$asker]}" 2> /dev/null || true
+        unset "processes[asker-$asker]"
+        cat "$work/asker-$asker.log" >> "$work/answers"
+    done
+}
+
+# Lets one node, then another, be asked for more than the whole limit, and watches the sum of all
+# nodes' parts meanwhile; prints by how much it lay above the limit at worst, as a part of it.
+measureOvershoot() {
+    printf '{"name":"shared","owner":"fleet","class":"shared","service":"fit","limits":{"ratePerSecond":%d,"concurrency":600}}' \
+        "$sharedLimit" > "$work/shared.json"
+    "$bin/lagoondeckctl" --store "$storeAddress" --instances "$listAddress" catalogue put "$work/shared.json" --wait > /dev/null
+    local urls=() hot
+    for id in "${live[@]}"; do
+        urls+=("http://127.0.0.1:$((httpBase + ${id#entry-}))/v1/status")
+    done
+    : > "$work/sums"
+    : > "$work/answers"
+    for hot in "${live[0]}" "${live[1]}"; do
+        startAskers "$hot"
+        for _ in $(seq 40); do
+            curl -s -Z -m 2 "${urls[@]}" 2> /dev/null \
+                | jq -s '[.[].shares.shared.ratePerSecond] | [add, max] | join(" ")' -r >> "$work/sums"
+            sleep 0.1
+        done
+        stopAskers
+    done
+    overshoot=$(awk -v limit="$sharedLimit" '{ over = $1 / limit - 1; worst = over > worst ? over : worst }
+        END { printf "%.3f", worst }' "$work/sums")
+    say "nodes $size sum of parts at worst $(sort -n "$work/sums" | tail -1 | cut -d' ' -f1) of $sharedLimit," \
+        "largest part $(sort -k2 -n "$work/sums" | tail -1 | cut -d' ' -f2)," \
+        "asked $(wc -l < "$work/answers") refused $(grep -c 429 "$work/answers" || true)"
+}
+
 median() { sort -n | awk '{ value[NR] = $1 } END { printf "%.0f", value[int((NR + 1) / 2)] }'; }
 
 disturbNodes() {
@@ -108,6 +159,7 @@
     sleep 10
     measureNodes > "$work/quiet"
     changeSeveral steady
+    measureOvershoot
     control "$storeControl" '{"lostReplies":0.5}'
     changeSeveral replies-lost
     control "$storeControl" '{"lostReplies":0}'
@@ -130,7 +182,8 @@
     "$bin/lagoondeckctl" --store "$storeAddress" --instances "$listAddress" --json catalogue history \
         > "$work/history.json"
     local head accepted uncertain
-    head=$(jq -r .revision "$work/history.json")
+    # The entry of the overshoot's measurement is one more.
+    head=$(($(jq -r .revision "$work/history.json") - 1))
     accepted=$(awk '$3 == 0' "$work/changes" | wc -l)
     uncertain=$(awk '$3 == 6' "$work/changes" | wc -l)
     if [ "$head" -lt "$accepted" ] || [ "$head" -gt $((accepted + uncertain)) ]; then
@@ -155,7 +208,7 @@
         kb, core, mb, reads }' "$work/quiet")
     lastLine="fleet: nodes $size in-force-median-ms $(grep -v ^total "$work/evaluated" | median)"
     lastLine+=" in-force-worst-ms $(grep -v ^total "$work/evaluated" | sort -n | tail -1 | awk '{ printf "%.0f", $1 }')"
-    lastLine+=" reverted $reverted overshoot ${overshoot:-0} $worst"
+    lastLine+=" reverted $reverted overshoot $overshoot $worst"
     [ "$lacking" -eq 0 ] || say "nodes $size: $lacking times a node lacked a change after $inForceBound s"
     echo "$lastLine"
 }
--- a/misc/fleet_library.sh
+++ b/misc/fleet_library.sh
@@ -19,7 +19,7 @@
 }
 trap cleanUp EXIT
 
-say() { echo "fleet: $*"; }
+say() { echo "fleet: $*" >&2; }
 now() { date +%s.%N; }
 
 # Starts a program and keeps its id under a name; its output goes to a file of that name.
@@ -142,4 +142,6 @@
         kill -KILL "${processes[$name]}" 2> /dev/null || true
         unset "processes[$name]"
     done
+    # The ports are used again at once.
+    sleep 1
 }
