Tell crashed targets in the measurements' table, and poison from the start

A poison run's figure of interest is how many targets it took down. The scenario had made its body poisonous half a second into the load, when the first ones had already run well and so needed no canary; the body is poison before the first query now.

--- a/bench/load_result.cpp
+++ b/bench/load_result.cpp
@@ -196,6 +196,7 @@
     json["coverageMin"] = this->coverageMin;
     json["extraLoad"] = this->extraLoad;
     json["goodputRatio"] = this->goodputRatio;
+    json["targetsCrashed"] = this->targets.crashes;
     json["targets"] = this->targets;
     json["streams"] = std::move(each);
     for (const LatencyBar &bar : latencies.bars()) {
--- a/bench/result_file.cpp
+++ b/bench/result_file.cpp
@@ -21,10 +21,11 @@
 
 namespace {
 
-constexpr std::array columns {
-        "sent",    "answered",      "notRun",        "failed",      "unknown",   "lost",
-        "doubled", "mixedSnapshot", "falseCoverage", "falseNotRun", "p50Ms",     "p99Ms",
-        "p999Ms",  "refusalP99Ms",  "coverageMean",  "coverageMin", "extraLoad", "goodputRatio"};
+constexpr std::array columns {"sent",          "answered",     "notRun",         "failed",
+                              "unknown",       "lost",         "doubled",        "mixedSnapshot",
+                              "falseCoverage", "falseNotRun",  "p50Ms",          "p99Ms",
+                              "p999Ms",        "refusalP99Ms", "targetsCrashed", "coverageMean",
+                              "coverageMin",   "extraLoad",    "goodputRatio"};
 constexpr int nameWidth = 34;
 constexpr int columnWidth = 14;
 constexpr int barWidth = 50;
--- a/bench/run_bench.sh
+++ b/bench/run_bench.sh
@@ -37,6 +37,7 @@
     write_catalogue "$scenario"
     put_catalogue "$work"/catalogue/*.json
     for number in 0 1 2 3 4 5; do entry_ready "$number"; done
+    prepare "$scenario"
     write_plan "$scenario" > "$work/plan.json"
     "$bin/lagoondeck-load" run "$work/plan.json" --instances "$instances" --targets "$targets_control" \
         --seed "$seed" --output "$out/results.json" --timeline "$out/$name.timeline" \
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -32,12 +32,18 @@
     done
 }
 
+# What holds before the first query: a poison body must never be seen to run well.
+prepare() {
+    if [ "$1" = poison ]; then
+        control_targets '{"action":"poison","text":"crashes-its-target","downMs":60000}'
+    fi
+}
+
 disturb() {
     sleep 0.5
     case $1 in
         slowed | crest-slowed) slow_a_tenth ;;
         store-down) control_store '{"outage":true}' ;;
-        poison) control_targets '{"action":"poison","text":"crashes-its-target","downMs":60000}' ;;
         rolling)
             (for third in 0 1 2; do replace_third "$third"; done) &
             local targets=$!
