--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -1,6 +1,7 @@
 #include "logic/reducer.h"
 
 #include "logic/invariant.h"
+#include "logic/stop_rule.h"
 
 #include <algorithm>
 #include <variant>
@@ -358,6 +359,7 @@
             context.log(LogEvent::StopBoundPassed,
                         {{"queries", std::to_string(this->engine.queriesInFlight())}});
         }
+        checkStopCutsNothing(this->engine.queriesInFlight() + this->claims.pending(), bound);
         this->targets.closeAll(context);
         context.emit(StopCompleted {});
         return;
--- a/tests/logic/fanout/test_rules.cpp
+++ b/tests/logic/fanout/test_rules.cpp
@@ -1,3 +1,4 @@
+#include "logic/catalogue/catalogue.h"
 #include "logic/fanout/attempt_ledger.h"
 #include "logic/fanout/attempt_table.h"
 #include "logic/fanout/dispatcher.h"
@@ -5,6 +6,7 @@
 #include "logic/fanout/merge.h"
 #include "logic/fanout/reply_taker.h"
 #include "logic/invariant.h"
+#include "logic/stop_rule.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -169,3 +171,20 @@
     budget.spend();
     CHECK(brokenBy([&] { budget.spend(); }) == Invariant::HedgeWithinBudget);
 }
+
+TEST_CASE("StopCutsNoRequest fires for a stop that leaves a request behind")
+{
+    CHECK_FALSE(brokenBy([] { checkStopCutsNothing(0, false); }));
+    CHECK_FALSE(brokenBy([] { checkStopCutsNothing(1, true); }));
+    CHECK(brokenBy([] { checkStopCutsNothing(1, false); }) == Invariant::StopCutsNoRequest);
+}
+
+TEST_CASE("RevisionOnlyGrows fires for a change that comes again")
+{
+    Catalogue catalogue;
+    CatalogueChange change;
+    change.revision = Revision(1);
+    change.name = EntryName("fit-check");
+    catalogue.apply(change);
+    CHECK(brokenBy([&] { catalogue.apply(change); }) == Invariant::RevisionOnlyGrows);
+}
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -27,6 +27,8 @@
     FakeTarget &addTarget(const TargetInstance &info);
     const std::vector<std::unique_ptr<FakeTarget>> &targets() const { return this->all; }
 
+    FakeTarget *find(const TargetId &target);
+
     void open(std::uint64_t node, const OpenConnection &effect);
     void close(std::uint64_t node, const CloseConnection &effect);
     void send(std::uint64_t node, const SendSubRequest &effect);
@@ -52,7 +54,6 @@
     };
 
     Duration hop();
-    FakeTarget *find(const TargetId &target);
     Link *link(const Wire &wire);
     void greet(const Wire &wire, FakeTarget &target);
     void fail(const Wire &wire, const TargetId &target, ConnectionEnd end);
--- a/tests/support/fake_world.cpp
+++ b/tests/support/fake_world.cpp
@@ -20,6 +20,8 @@
 constexpr Duration storeDelay = std::chrono::milliseconds(3);
 constexpr Duration watchInterval = std::chrono::milliseconds(20);
 constexpr Duration peerDelay = std::chrono::milliseconds(2);
+/// A target that leaves may get work for this long.
+constexpr Duration leavingBound = std::chrono::seconds(3);
 constexpr Duration settleTime = std::chrono::seconds(8);
 constexpr Duration stopTime = std::chrono::seconds(25);
 
@@ -241,6 +243,7 @@
 {
     const std::uint64_t number = node.number;
     if (const auto *send = std::get_if<SendSubRequest>(&effect)) {
+        this->checkLeaving(node, *send);
         this->network.send(number, *send);
     } else if (const auto *cancel = std::get_if<CancelSubRequest>(&effect)) {
         this->network.cancel(number, *cancel);
@@ -270,6 +273,17 @@
     }
 }
 
+void FakeWorld::checkLeaving(const FakeNode &node, const SendSubRequest &send)
+{
+    const FakeTarget *target = this->network.find(send.target);
+    const Instant bound = this->schedule.now() - leavingBound;
+    // A node that slept learns of the leaving target a moment after it wakes.
+    if (target != nullptr && target->leaving && target->leavingSince < bound
+        && !node.sleptSince(bound)) {
+        this->record.violate("work for a leaving target: " + send.target.value);
+    }
+}
+
 void FakeWorld::carryPeer(const SendPeerMessage &effect)
 {
     if (this->random.chance(this->peerMessagesLost)) {
@@ -418,6 +432,9 @@
     this->asking = false;
     this->runFor(settleTime);
     for (FakeNode *node : this->servingNodes()) {
+        if (node->status().catalogueRevision != Revision(this->lastRevision)) {
+            this->record.violate("a change that is not in force: " + node->settings.id.value);
+        }
         this->stopNode(*node);
     }
     this->runFor(stopTime);
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -65,6 +65,7 @@
     void carry(FakeNode &node, const Effect &effect);
     void carryStore(FakeNode &node, const StoreOperation &effect);
     void carryWatch(FakeNode &node, StoreOpId operation, std::uint64_t from);
+    void checkLeaving(const FakeNode &node, const SendSubRequest &send);
     void carryPeer(const SendPeerMessage &effect);
     void pollInstances(std::uint64_t node);
     InstanceList currentList() const;
