Let the random runs lose replies of sub-requests that ran

A trial that counted every lost sub-request as proved not run passed four runs of 30 s: too few replies were lost while a target had run them. With a tenth of the replies lost at times, and with repeats no longer exempt, the same trial fails in four of four runs ("false not-run", "doubled").

--- a/tests/support/fake_network.cpp
+++ b/tests/support/fake_network.cpp
@@ -177,6 +177,10 @@
 
 void FakeNetwork::reply(const Wire &wire, TargetReplied event)
 {
+    if (this->random.chance(this->lostPart)) {
+        this->breakLink(wire, ConnectionEnd::Lost);
+        return;
+    }
     if (this->random.chance(this->forgedPart)) {
         this->forge(wire, event);
     }
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -42,6 +42,8 @@
 
     /// Replies that are doubled, belong elsewhere or name another snapshot.
     double forgedPart = 0.0;
+    /// Replies whose connection breaks before they arrive.
+    double lostPart = 0.0;
     Duration extraDelay {};
 
 private:
--- a/tests/support/world_faults.cpp
+++ b/tests/support/world_faults.cpp
@@ -101,10 +101,14 @@
 
 void WorldFaults::networkFault()
 {
-    switch (this->world.random.number(0, 3)) {
+    switch (this->world.random.number(0, 4)) {
     case 0:
         this->world.network.breakSome(0.1);
         break;
+    case 3:
+        this->world.network.lostPart = 0.1;
+        this->healLater([this] { this->world.network.lostPart = 0.0; });
+        break;
     case 1:
         this->world.network.forgedPart = 0.1;
         this->healLater([this] { this->world.network.forgedPart = 0.0; });
--- a/tests/support/world_record.cpp
+++ b/tests/support/world_record.cpp
@@ -78,7 +78,6 @@
     this->count(answer);
     RequestFate &fate = this->fates[asked.request.requestId];
     fate.notRun += answer.outcome == Outcome::NotRun ? 1 : 0;
-    fate.refusedAsRepeated |= answer.reason == FailureReason::AlreadyClaimed;
     if (!nodeSlept && at - asked.at > asked.request.budget + answerSlack) {
         this->violate("late answer: " + asked.request.requestId.value);
     }
@@ -154,7 +153,7 @@
         this->violate("lost: " + asked.request.requestId.value);
     }
     for (const auto &[id, fate] : this->fates) {
-        if (fate.runs > 0 && fate.notRun == fate.asked && !fate.refusedAsRepeated) {
+        if (fate.runs > 0 && fate.notRun == fate.asked) {
             this->violate("false not-run: " + id.value);
         }
     }
--- a/tests/support/world_record.h
+++ b/tests/support/world_record.h
@@ -65,7 +65,6 @@
         std::size_t runs = 0;
         std::size_t asked = 0;
         std::size_t notRun = 0;
-        bool refusedAsRepeated = false;
         /// The shards that ran in each version.
         std::map<SnapshotVersion, std::set<ShardId>> ranIn;
     };
