Choose replicas by what was seen of them, with probation, ramps and in-flight limits

Cause: a replica was drawn at random among those with an idle connection, so a slow target kept its part of the load, and a target with few slots was sent whatever the connections could carry. Change: two replicas are drawn and the one of lower cost is taken; the cost is the latency this instance saw, grown by its own sub-requests in flight and a little by the target's fresh report. A target three times as slow as its fastest replica goes on probation (events 303, 304) and gets probes beside a normal attempt; three fast ones bring it back by a ramp. Each target has an adaptive in-flight limit and rests after a refusal. Connection shares follow the membership view with a quarter in reserve and shrink by closing idle connections. A target that was leaving is used again once its old process has ended. The table of targets is split into connections, shard index and choice.

--- a/logic/fanout/dispatcher.cpp
+++ b/logic/fanout/dispatcher.cpp
@@ -90,20 +90,42 @@
     if (!reservation) {
         return false;
     }
+    this->sendTo(*reservation, query, work, hedge, context);
+    if (!hedge && work.attemptsSent == 1 && query.request.idempotent) {
+        this->sendProbe(query, work, context);
+    }
+    return true;
+}
+
+void Dispatcher::sendProbe(Query &query, ShardWork &work, Context &context)
+{
+    if (!this->state.budgetsOf(query.entry.name).hedges.allows()) {
+        return;
+    }
+    const ShardKey key {query.entry.service, work.shard};
+    if (const auto reservation = this->state.targets.reserveProbe(key, query.snapshot.version,
+                                                                  work.tried, context)) {
+        this->sendTo(*reservation, query, work, true, context);
+    }
+}
+
+void Dispatcher::sendTo(const Reservation &reservation, Query &query, ShardWork &work, bool hedge,
+                        Context &context)
+{
     checkMaySend(query, work);
+    const ShardKey key {query.entry.service, work.shard};
     const auto id = context.ids.next<AttemptId>();
-    this->state.attempts.add({id, query.request.query, key, query.snapshot.version, *reservation,
+    this->state.attempts.add({id, query.request.query, key, query.snapshot.version, reservation,
                               context.now, query.restarts, hedge});
     this->account(query, work, hedge);
     work.phase = ShardPhase::Running;
-    work.tried.push_back(reservation->target);
+    work.tried.push_back(reservation.target);
     work.attemptsOut.push_back(id);
-    context.emit(SendSubRequest {id, reservation->connection, reservation->target,
+    context.emit(SendSubRequest {id, reservation.connection, reservation.target,
                                  query.entry.service, work.shard, query.snapshot.version,
                                  query.request.requestId, query.request.caller,
                                  query.request.idempotent, this->targetBudget(query, context.now),
                                  query.request.body, query.request.query, query.deadlineAt});
-    return true;
 }
 
 void Dispatcher::account(Query &query, ShardWork &work, bool hedge)
--- a/logic/fanout/dispatcher.h
+++ b/logic/fanout/dispatcher.h
@@ -37,6 +37,10 @@
 
     Service trySend(Query &query, ShardWork &work, Context &context);
     bool send(Query &query, ShardWork &work, bool hedge, Context &context);
+    void sendTo(const Reservation &reservation, Query &query, ShardWork &work, bool hedge,
+                Context &context);
+    /// Sends a second attempt at once to a replica on probation that is due for a probe.
+    void sendProbe(Query &query, ShardWork &work, Context &context);
     bool mayWait(const Query &query, const ShardWork &work) const;
     void giveUpUnserved(Query &query, ShardWork &work);
     void account(Query &query, ShardWork &work, bool hedge);
--- a/logic/fanout/reply_meaning.cpp
+++ b/logic/fanout/reply_meaning.cpp
@@ -49,6 +49,7 @@
     case ReplyKind::CancelledWhileRunning:
         return SubRequestEnd::Cancelled;
     case ReplyKind::Shed:
+        return SubRequestEnd::Shed;
     case ReplyKind::Draining:
     case ReplyKind::SnapshotRetired:
     case ReplyKind::ExpiredBeforeRun:
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -64,6 +64,8 @@
 {
     std::vector<Effect> effects;
     Context context {event.at, event.wall, effects, this->random, this->ids};
+    this->targets.setLiveInstances(
+            static_cast<std::uint32_t>(this->membership.view().others.size() + 1));
     std::visit([&](const auto &body) { this->on(body, context); }, event.body);
     std::size_t observed = 0;
     do {
@@ -295,6 +297,8 @@
         this->completeStopIfIdle(context);
         break;
     case TimerKind::QueueCheck:
+        this->targets.onQueueCheck(context);
+        this->engine.pumpAll(context);
         break;
     }
 }
--- a/logic/selection/target_state.h
+++ b/logic/selection/target_state.h
@@ -2,6 +2,10 @@
 
 #include "core/instance_list.h"
 #include "core/time.h"
+#include "logic/limits/in_flight_limit.h"
+#include "logic/selection/latency_estimate.h"
+#include "logic/selection/load_ramp.h"
+#include "logic/selection/probation.h"
 #include "logic/target_report.h"
 
 #include <algorithm>
@@ -24,6 +28,8 @@
 {
     ConnectionId id;
     ConnectionUse use = ConnectionUse::Opening;
+    /// When it began to carry its sub-request.
+    Instant carryingSince {};
 };
 
 /// All that this instance knows of one target.
@@ -32,6 +38,9 @@
     TargetInstance info;
     /// Some sign told that it is leaving.
     bool leaving = false;
+    /// While it was leaving, a connection broke or could not be made: its process has ended, and
+    /// one that answers from now on is another.
+    bool endedSinceLeaving = false;
     /// The instance list names it no longer; it is dropped when its last connection ends.
     bool gone = false;
     TargetReport report;
@@ -43,6 +52,10 @@
     /// No connection is opened before this, after a refusal or a failure.
     Instant retryConnectAt {};
     std::uint32_t connectFailures = 0;
+    LatencyEstimate latency;
+    LoadRamp ramp;
+    Probation probation;
+    InFlightLimit limit;
 
     bool serves(SnapshotVersion version) const
     {
--- a/logic/selection/target_table.cpp
+++ b/logic/selection/target_table.cpp
@@ -2,7 +2,7 @@
 
 #include "logic/context.h"
 #include "logic/invariant.h"
-#include "logic/limits/connection_share.h"
+#include "logic/selection/replica_choice.h"
 
 #include <random>
 #include <set>
@@ -12,28 +12,11 @@
 namespace {
 
 constexpr Duration maintenanceInterval = std::chrono::milliseconds(100);
-/// A target that told nothing for this long is asked.
-constexpr Duration reportAge = std::chrono::milliseconds(500);
-constexpr Duration firstConnectBackoff = std::chrono::milliseconds(50);
-constexpr Duration longestConnectBackoff = std::chrono::seconds(2);
-constexpr std::uint32_t mostBackoffDoublings = 6;
-/// A target that failed to accept so many connections in a row is not expected back at once.
-constexpr std::uint32_t fewestFailuresForLost = 2;
-
-/// Exponential with jitter, so that instances don't return to a target together.
-Duration connectBackoff(std::uint32_t failures, RandomEngine &random)
-{
-    const std::uint32_t doublings = std::min(failures, mostBackoffDoublings);
-    const Duration ceiling =
-            std::min(longestConnectBackoff, firstConnectBackoff * (1 << doublings));
-    std::uniform_int_distribution<Duration::rep> jitter(ceiling.count() / 2, ceiling.count());
-    return Duration(jitter(random));
-}
 
 } // namespace
 
 TargetTable::TargetTable(Policy policy, std::uint32_t expectedInstances)
-    : policy(policy), expectedInstances(expectedInstances)
+    : policy(policy), connections(expectedInstances)
 { }
 
 void TargetTable::start(Context &context)
@@ -50,7 +33,9 @@
 void TargetTable::onInstances(const InstanceList &list, Context &context)
 {
     for (const TargetInstance &info : list.targets) {
-        if (this->find(info.id) == nullptr) {
+        if (TargetState *state = this->find(info.id)) {
+            this->updateTarget(*state, info, context);
+        } else {
             this->addTarget(info, context);
         }
         if (info.state == InstanceState::Leaving) {
@@ -64,12 +49,37 @@
 {
     auto state = std::make_unique<TargetState>();
     state->info = info;
-    this->shards[{info.service, info.shard}].push_back(state.get());
-    this->openMissing(*state, context);
+    this->shards.add(*state);
+    state->ramp.restart(context.now);
+    this->connections.keepShare(*state, context);
     this->targets.emplace(info.id, std::move(state));
     context.log(LogEvent::TargetSeen, {{"target", info.id.value}, {"address", info.address}});
 }
 
+void TargetTable::updateTarget(TargetState &state, const TargetInstance &info, Context &context)
+{
+    if (state.info.address != info.address || state.info.service != info.service
+        || state.info.shard != info.shard) {
+        // Another process under the same name: the old one is forgotten first.
+        this->markGone(state, context);
+        return;
+    }
+    state.info = info;
+}
+
+void TargetTable::markGone(TargetState &state, Context &context)
+{
+    if (state.gone) {
+        return;
+    }
+    const TargetId id = state.info.id;
+    state.gone = true;
+    context.log(LogEvent::TargetGone, {{"target", id.value}});
+    this->shards.recomputeSnapshot(state.info.service, context);
+    this->connections.closeIdle(state, context);
+    this->dropIfDone(id);
+}
+
 void TargetTable::removeUnlisted(const InstanceList &list, Context &context)
 {
     std::set<TargetId> listed;
@@ -78,17 +88,12 @@
     }
     std::vector<TargetId> unlisted;
     for (const auto &[id, state] : this->targets) {
-        if (!listed.contains(id) && !state->gone) {
+        if (!listed.contains(id)) {
             unlisted.push_back(id);
         }
     }
     for (const TargetId &id : unlisted) {
-        TargetState &state = *this->find(id);
-        state.gone = true;
-        context.log(LogEvent::TargetGone, {{"target", id.value}});
-        this->recomputeSnapshot(state.info.service, context);
-        this->closeIdle(state, context);
-        this->dropIfDone(id);
+        this->markGone(*this->find(id), context);
     }
 }
 
@@ -98,50 +103,15 @@
     if (state == nullptr || !state->gone || !state->connections.empty()) {
         return;
     }
-    const ShardKey key {state->info.service, state->info.shard};
-    auto &replicas = this->shards[key];
-    std::erase(replicas, state);
-    if (replicas.empty()) {
-        this->shards.erase(key);
-    }
+    this->shards.remove(*state);
     this->targets.erase(target);
 }
 
-void TargetTable::openMissing(TargetState &state, Context &context)
-{
-    if (this->closing || state.leaving || state.gone || context.now < state.retryConnectAt) {
-        return;
-    }
-    const std::uint32_t share =
-            connectionShare(state.info.connectionCap, state.info.slots, this->expectedInstances);
-    while (state.connections.size() < share) {
-        const auto id = context.ids.next<ConnectionId>();
-        state.connections.push_back({id, ConnectionUse::Opening});
-        context.emit(OpenConnection {id, state.info.id, state.info.address});
-    }
-}
-
-void TargetTable::closeIdle(TargetState &state, Context &context)
+void TargetTable::settle(TargetState &state, ConnectionId connection, Context &context)
 {
-    std::erase_if(state.connections, [&](const TargetConnection &connection) {
-        if (connection.use != ConnectionUse::Idle) {
-            return false;
-        }
-        context.emit(CloseConnection {connection.id, state.info.id});
-        return true;
-    });
-}
-
-void TargetTable::settle(TargetState &state, ConnectionId id, Context &context)
-{
-    if (TargetConnection *connection = state.connection(id)) {
-        connection->use = ConnectionUse::Idle;
-    }
-    if (this->closing || state.gone) {
-        const TargetId target = state.info.id;
-        this->closeIdle(state, context);
-        this->dropIfDone(target);
-    }
+    const TargetId target = state.info.id;
+    this->connections.settle(state, connection, context);
+    this->dropIfDone(target);
 }
 
 void TargetTable::onConnectionOpened(const ConnectionOpened &event, Context &context)
@@ -152,6 +122,9 @@
         return;
     }
     state->connectFailures = 0;
+    if (state->leaving && event.report && !event.report->leaving) {
+        this->takeReplacement(*state, context);
+    }
     if (event.report) {
         this->onReport(event.target, *event.report, context);
     }
@@ -164,30 +137,33 @@
     if (state == nullptr) {
         return;
     }
-    const TargetConnection *connection = state->connection(event.connection);
-    if (connection != nullptr && connection->use == ConnectionUse::Carrying) {
-        --state->inFlight;
-    }
-    std::erase_if(state->connections, [&](const TargetConnection &candidate) {
-        return candidate.id == event.connection;
-    });
-    if (event.end == ConnectionEnd::RefusedAtCap || event.end == ConnectionEnd::ConnectFailed) {
-        state->retryConnectAt =
-                context.now + connectBackoff(state->connectFailures, context.random);
-        ++state->connectFailures;
-    }
-    if (event.end == ConnectionEnd::RefusedAtCap) {
-        context.log(LogEvent::ConnectionRefused, {{"target", event.target.value}});
-    }
+    this->connections.onClosed(*state, event, context);
     if (state->connections.empty() && state->reportedAt) {
         // Nothing is known of a target that no connection reaches.
         state->reportedAt.reset();
-        this->recomputeSnapshot(state->info.service, context);
+        this->shards.recomputeSnapshot(state->info.service, context);
     }
-    this->openMissing(*state, context);
+    this->connections.keepShare(*state, context);
     this->dropIfDone(event.target);
 }
 
+void TargetTable::takeReplacement(TargetState &state, Context &context)
+{
+    if (!state.endedSinceLeaving || state.info.state == InstanceState::Leaving) {
+        return;
+    }
+    // The process that was leaving has ended; another one answers under its name.
+    state.leaving = false;
+    state.endedSinceLeaving = false;
+    state.latency = LatencyEstimate();
+    state.probation = Probation();
+    state.limit = InFlightLimit();
+    state.ramp.restart(context.now);
+    context.log(LogEvent::TargetSeen,
+                {{"target", state.info.id.value}, {"address", state.info.address}});
+    this->shards.recomputeSnapshot(state.info.service, context);
+}
+
 void TargetTable::onHealth(const TargetHealth &event, Context &context)
 {
     TargetState *state = this->find(event.target);
@@ -220,7 +196,7 @@
         this->markLeaving(target, context);
     }
     if (changed) {
-        this->recomputeSnapshot(state->info.service, context);
+        this->shards.recomputeSnapshot(state->info.service, context);
     }
 }
 
@@ -231,64 +207,75 @@
         return;
     }
     state->leaving = true;
+    state->endedSinceLeaving = false;
     context.log(LogEvent::TargetLeaving, {{"target", target.value}});
-    this->recomputeSnapshot(state->info.service, context);
+    this->shards.recomputeSnapshot(state->info.service, context);
 }
 
 void TargetTable::onTimer(Context &context)
 {
     for (auto &[id, state] : this->targets) {
-        this->openMissing(*state, context);
-        this->probeSilent(*state, context);
+        this->connections.keepShare(*state, context);
+        this->connections.probeSilent(*state, context);
     }
     this->start(context);
 }
 
-void TargetTable::probeSilent(TargetState &state, Context &context)
+std::optional<Reservation> TargetTable::reserve(const ShardKey &key, SnapshotVersion snapshot,
+                                                std::span<const TargetId> excluded,
+                                                Context &context)
 {
-    if (this->closing || state.gone || !state.reportedAt
-        || context.now - *state.reportedAt < reportAge) {
-        return;
+    std::vector<TargetState *> candidates = this->shards.serving(key, snapshot, excluded);
+    if (this->policy.informedSelection) {
+        dropProbation(candidates);
     }
-    const bool probing = std::ranges::any_of(state.connections, [](const auto &connection) {
-        return connection.use == ConnectionUse::Probing;
-    });
-    TargetConnection *idle = state.idleConnection();
-    if (probing || idle == nullptr) {
-        return;
+    std::erase_if(candidates,
+                  [&](TargetState *state) { return !this->isFree(*state, context.now); });
+    if (candidates.empty()) {
+        return std::nullopt;
     }
-    idle->use = ConnectionUse::Probing;
-    context.emit(ProbeTarget {idle->id, state.info.id});
+    return this->take(this->policy.informedSelection
+                              ? chooseReplica(candidates, context.now, context.random)
+                              : chooseAtRandom(candidates, context.random),
+                      context.now);
 }
 
-std::optional<Reservation> TargetTable::reserve(const ShardKey &key, SnapshotVersion snapshot,
-                                                std::span<const TargetId> excluded,
-                                                Context &context)
+bool TargetTable::isFree(TargetState &state, Instant now) const
+{
+    return state.idleConnection() != nullptr
+            && (!this->policy.adaptiveLimits || state.limit.allows(state.inFlight, now));
+}
+
+std::optional<Reservation> TargetTable::reserveProbe(const ShardKey &key, SnapshotVersion snapshot,
+                                                     std::span<const TargetId> excluded,
+                                                     Context &context)
 {
-    const auto found = this->shards.find(key);
-    if (found == this->shards.end()) {
+    if (!this->policy.informedSelection) {
         return std::nullopt;
     }
-    std::vector<TargetState *> candidates;
-    for (TargetState *state : found->second) {
-        const bool skip = std::ranges::find(excluded, state->info.id) != excluded.end();
-        if (!skip && state->usable() && state->serves(snapshot) && state->idleConnection()) {
-            candidates.push_back(state);
+    for (TargetState *state : this->shards.serving(key, snapshot, excluded)) {
+        if (state->probation.probeDue(context.now) && state->inFlight == 0
+            && this->isFree(*state, context.now)) {
+            state->probation.onProbeSent(context.now, context.random);
+            return this->take(*state, context.now);
         }
     }
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
-    std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
-    TargetState &chosen = *candidates[pick(context.random)];
-    ensure(!chosen.leaving && !chosen.gone, Invariant::NoWorkToLeaving);
-    TargetConnection &connection = *chosen.idleConnection();
+    return std::nullopt;
+}
+
+Reservation TargetTable::take(TargetState &state, Instant now)
+{
+    ensure(!state.leaving && !state.gone, Invariant::NoWorkToLeaving,
+           [&] { return state.info.id.value; });
+    TargetConnection &connection = *state.idleConnection();
     connection.use = ConnectionUse::Carrying;
-    ++chosen.inFlight;
-    return Reservation {chosen.info.id, connection.id};
+    connection.carryingSince = now;
+    ++state.inFlight;
+    return Reservation {state.info.id, connection.id};
 }
 
-void TargetTable::release(const Reservation &reservation, SubRequestEnd, Duration, Context &context)
+void TargetTable::release(const Reservation &reservation, SubRequestEnd end, Duration latency,
+                          Context &context)
 {
     TargetState *state = this->find(reservation.target);
     if (state == nullptr) {
@@ -298,70 +285,59 @@
     if (connection == nullptr || connection->use != ConnectionUse::Carrying) {
         return;
     }
+    const std::uint32_t inFlightBefore = state->inFlight;
     --state->inFlight;
+    this->learn(*state, end, latency, inFlightBefore, context);
     this->settle(*state, reservation.connection, context);
 }
 
-std::optional<ConnectionId> TargetTable::takeForCancel(const TargetId &target)
+void TargetTable::wakeAt(Instant at, Context &context)
 {
-    TargetState *state = this->find(target);
-    TargetConnection *idle = state == nullptr ? nullptr : state->idleConnection();
-    if (idle == nullptr) {
-        return std::nullopt;
+    if (!this->wake || at < *this->wake) {
+        this->wake = at;
+        context.emit(SetTimer {{TimerKind::QueueCheck, 0}, at});
     }
-    idle->use = ConnectionUse::Probing;
-    return idle->id;
 }
 
-std::optional<SnapshotAnnouncement> TargetTable::snapshotFor(const ServiceName &service) const
+void TargetTable::onQueueCheck(Context &context)
 {
-    const auto found = this->snapshots.find(service);
-    return found == this->snapshots.end() ? std::nullopt : std::optional(found->second);
-}
-
-void TargetTable::recomputeSnapshot(const ServiceName &service, Context &context)
-{
-    const auto chosen = chooseSnapshot(this->shards, service);
-    if (chosen == this->snapshotFor(service)) {
-        return;
-    }
-    if (!chosen) {
-        this->snapshots.erase(service);
-        return;
+    this->wake.reset();
+    for (const auto &[id, state] : this->targets) {
+        if (state->limit.restsUntil() > context.now) {
+            this->wakeAt(state->limit.restsUntil(), context);
+        }
     }
-    this->snapshots[service] = *chosen;
-    context.log(LogEvent::SnapshotAdopted,
-                {{"service", service.value},
-                 {"version", std::to_string(chosen->version.value)},
-                 {"shards", std::to_string(chosen->shardCount)}});
-}
-
-bool TargetTable::hasReplica(const ShardKey &key, SnapshotVersion snapshot,
-                             std::span<const TargetId> excluded) const
-{
-    const auto found = this->shards.find(key);
-    return found != this->shards.end()
-            && std::ranges::any_of(found->second, [&](const TargetState *state) {
-                   return state->usable() && state->serves(snapshot)
-                           && std::ranges::find(excluded, state->info.id) == excluded.end();
-               });
 }
 
-bool TargetTable::hasUsable(const ShardKey &key) const
+void TargetTable::learn(TargetState &state, SubRequestEnd end, Duration latency,
+                        std::uint32_t inFlightBefore, Context &context)
 {
-    const auto found = this->shards.find(key);
-    return found != this->shards.end() && std::ranges::any_of(found->second, &TargetState::usable);
+    if (end == SubRequestEnd::Answered) {
+        state.latency.add(latency, context.now);
+        state.limit.onAnswered(state.latency.mean(), state.latency.floor(),
+                               inFlightBefore >= state.limit.whole(),
+                               this->connections.shareOf(state), context.now);
+    } else if (end == SubRequestEnd::Cancelled) {
+        state.latency.addUnfinished(latency, context.now);
+    } else if (end == SubRequestEnd::Shed) {
+        state.limit.onShed(state.latency.floor(), state.info.slots, context.now, context.random);
+        this->wakeAt(state.limit.restsUntil(), context);
+    }
+    if (this->policy.informedSelection) {
+        const auto replicas = this->shards.replicas({state.info.service, state.info.shard});
+        reviewProbation(replicas, state, {end, latency}, context);
+    }
 }
 
-bool TargetTable::mayReturn(const ShardKey &key, std::span<const TargetId> excluded) const
+std::optional<ConnectionId> TargetTable::takeForCancel(const TargetId &target)
 {
-    const auto found = this->shards.find(key);
-    return found != this->shards.end()
-            && std::ranges::any_of(found->second, [&](const TargetState *state) {
-                   return !state->leaving && !state->gone && !state->reportedAt
-                           && state->connectFailures < fewestFailuresForLost
-                           && std::ranges::find(excluded, state->info.id) == excluded.end();
-               });
+    TargetState *state = this->find(target);
+    TargetConnection *idle = state == nullptr ? nullptr : state->idleConnection();
+    if (idle == nullptr) {
+        return std::nullopt;
+    }
+    idle->use = ConnectionUse::Probing;
+    return idle->id;
 }
 
 std::optional<ShardKey> TargetTable::shardOf(const TargetId &target) const
@@ -390,9 +366,9 @@
 
 void TargetTable::closeAll(Context &context)
 {
-    this->closing = true;
+    this->connections.stopOpening();
     for (auto &[id, state] : this->targets) {
-        this->closeIdle(*state, context);
+        this->connections.closeIdle(*state, context);
     }
 }
 
--- /dev/null
+++ b/tests/logic/selection/table_fixture.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "logic/context.h"
+#include "logic/events.h"
+#include "logic/selection/target_table.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace lagoondeck {
+
+/// A table of targets whose drivers' events are made by hand. The targets are replicas of one
+/// shard, named "a", "b" and so on.
+class TableFixture
+{
+public:
+    explicit TableFixture(Policy policy = {}, std::uint32_t instances = 1)
+        : table(policy, instances)
+    { }
+
+    void addReplicas(std::size_t count)
+    {
+        this->report.snapshots = {{this->snapshot, 1}};
+        for (std::size_t i = 0; i < count; ++i) {
+            TargetInstance info;
+            info.id = nameOf(i);
+            info.service = this->key.service;
+            info.address = "10.0.0." + std::to_string(i);
+            info.slots = 4;
+            info.connectionCap = 8;
+            this->list.targets.push_back(info);
+        }
+        this->listInstances();
+        this->openAll();
+        // Past the ramp of targets that have just been seen.
+        this->now += LoadRamp::length;
+        this->tick();
+        for (const ProbeTarget &probe : this->taken<ProbeTarget>()) {
+            Context context = this->context();
+            this->table.onHealth({probe.connection, probe.target, this->report}, context);
+        }
+    }
+
+    static TargetId nameOf(std::size_t number)
+    {
+        return TargetId(std::string(1, static_cast<char>('a' + number)));
+    }
+
+    void listInstances()
+    {
+        Context context = this->context();
+        this->table.onInstances(this->list, context);
+    }
+
+    /// Accepts each connection that the table wishes to open; returns how many.
+    std::size_t openAll()
+    {
+        const auto opens = this->taken<OpenConnection>();
+        for (const OpenConnection &open : opens) {
+            Context context = this->context();
+            this->table.onConnectionOpened({open.connection, open.target, this->report}, context);
+        }
+        return opens.size();
+    }
+
+    void close(const Reservation &reservation, ConnectionEnd end)
+    {
+        Context context = this->context();
+        this->table.onConnectionClosed({reservation.connection, reservation.target, end}, context);
+    }
+
+    std::optional<Reservation> reserve(std::span<const TargetId> excluded = {})
+    {
+        Context context = this->context();
+        return this->table.reserve(this->key, this->snapshot, excluded, context);
+    }
+
+    std::optional<Reservation> reserveProbe()
+    {
+        Context context = this->context();
+        return this->table.reserveProbe(this->key, this->snapshot, {}, context);
+    }
+
+    void release(const Reservation &reservation, Duration latency,
+                 SubRequestEnd end = SubRequestEnd::Answered)
+    {
+        Context context = this->context();
+        this->table.release(reservation, end, latency, context);
+    }
+
+    void tick()
+    {
+        Context context = this->context();
+        this->table.onTimer(context);
+    }
+
+    /// Sends one sub-request to each replica that is chosen, with the latency that it has.
+    template <typename LatencyOf>
+    void exercise(int rounds, LatencyOf latencyOf)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            this->now += std::chrono::milliseconds(5);
+            if (const auto reservation = this->reserve()) {
+                this->release(*reservation, latencyOf(reservation->target));
+            }
+        }
+    }
+
+    std::size_t logged(LogEvent event) const
+    {
+        return static_cast<std::size_t>(
+                std::ranges::count_if(this->effects, [&](const Effect &effect) {
+                    const auto *line = std::get_if<WriteLog>(&effect);
+                    return line != nullptr && line->event == event;
+                }));
+    }
+
+    template <typename Kind>
+    std::vector<Kind> taken()
+    {
+        std::vector<Kind> found;
+        for (const Effect &effect : this->effects) {
+            if (const auto *match = std::get_if<Kind>(&effect)) {
+                found.push_back(*match);
+            }
+        }
+        std::erase_if(this->effects,
+                      [](const Effect &effect) { return std::holds_alternative<Kind>(effect); });
+        return found;
+    }
+
+    Context context() { return {this->now, WallTime {}, this->effects, this->random, this->ids}; }
+
+    ShardKey key {ServiceName("fit"), ShardId(0)};
+    SnapshotVersion snapshot {7};
+    TargetReport report;
+    InstanceList list;
+    Instant now {std::chrono::seconds(1)};
+    std::vector<Effect> effects;
+    RandomEngine random {7};
+    IdSource ids;
+    TargetTable table;
+};
+
+} // namespace lagoondeck
