Put a target on trial after a single straggling sub-request

Change: one sub-request three times as slow as the fastest replica puts the target on trial: it gets probes beside normal attempts until one of them is fast, and goes on probation proper after four lost ones. Half of the replicas are never on trial.

--- a/logic/selection/probation.cpp
+++ b/logic/selection/probation.cpp
@@ -15,7 +15,13 @@
 constexpr Duration leastDifference = std::chrono::milliseconds(5);
 constexpr int fastProbeMultiple = 2;
 constexpr std::uint32_t fastProbesToReturn = 3;
+constexpr std::uint32_t lostProbesToFail = 4;
+/// A sub-request this many times as slow as the fastest replica's average is a straggler.
+constexpr int stragglerMultiple = 3;
+/// At most one replica in so many is on trial or probation because of single stragglers.
+constexpr std::size_t replicasPerTrial = 2;
 constexpr Duration firstInterval = std::chrono::milliseconds(500);
+constexpr Duration firstTrialInterval = std::chrono::milliseconds(100);
 constexpr Duration longestInterval = std::chrono::seconds(8);
 /// Between the fast probes that end a probation.
 constexpr Duration fastInterval = std::chrono::milliseconds(20);
@@ -35,15 +41,21 @@
 
 } // namespace
 
-void Probation::begin(Instant now, RandomEngine &random)
+void Probation::begin(Stage stage, Instant now, RandomEngine &random)
 {
-    this->onProbation = true;
+    this->current = stage;
     this->probeOut = false;
-    this->interval = firstInterval;
+    this->interval = stage == Stage::Trial ? firstTrialInterval : firstInterval;
     this->fastProbes = 0;
+    this->lostProbes = 0;
     this->nextProbeAt = now + jittered(this->interval, random);
 }
 
+bool Probation::triedEnough() const
+{
+    return this->lostProbes >= lostProbesToFail;
+}
+
 void Probation::onProbeSent(Instant now, RandomEngine &random)
 {
     this->probeOut = true;
@@ -54,12 +66,13 @@
 {
     this->probeOut = false;
     ++this->fastProbes;
+    this->lostProbes = 0;
     this->interval = firstInterval;
     this->nextProbeAt = now + fastInterval;
-    if (this->fastProbes < fastProbesToReturn) {
+    if (this->current == Stage::Proper && this->fastProbes < fastProbesToReturn) {
         return false;
     }
-    this->onProbation = false;
+    this->current = Stage::None;
     return true;
 }
 
@@ -69,6 +82,7 @@
         return;
     }
     this->probeOut = false;
+    ++this->lostProbes;
     this->interval = std::min(this->interval * 2, longestInterval);
     this->nextProbeAt = now + jittered(this->interval, random);
 }
@@ -94,27 +108,36 @@
     return fastest;
 }
 
-bool deservesProbation(std::span<TargetState *const> replicas, const TargetState &target)
+namespace {
+
+bool isSlow(Duration latency, Duration fastest, int multiple)
 {
-    const Duration fastest = fastestOther(replicas, target);
-    const Duration own = target.latency.mean();
-    return fastest.count() > 0 && target.latency.trusted() && own > fastest * slowMultiple
-            && own > fastest + leastDifference;
+    return latency > fastest * multiple && latency > fastest + leastDifference;
 }
 
-void reviewProbation(std::span<TargetState *const> replicas, TargetState &target,
-                     SubRequestResult result, Context &context)
+void beginProper(TargetState &target, Context &context)
 {
-    Probation &probation = target.probation;
-    if (!probation.active()) {
-        if (deservesProbation(replicas, target)) {
-            probation.begin(context.now, context.random);
-            context.log(LogEvent::TargetOnProbation,
-                        {{"target", target.info.id.value},
-                         {"meanUs", std::to_string(target.latency.mean().count())}});
-        }
+    target.probation.begin(Probation::Stage::Proper, context.now, context.random);
+    context.log(LogEvent::TargetOnProbation,
+                {{"target", target.info.id.value},
+                 {"meanUs", std::to_string(target.latency.mean().count())}});
+}
+
+void endProbation(Probation::Stage stage, TargetState &target, Duration latency, Context &context)
+{
+    if (stage == Probation::Stage::Trial) {
         return;
     }
+    target.latency.restart(latency, context.now);
+    target.ramp.restart(context.now);
+    context.log(LogEvent::TargetReturned, {{"target", target.info.id.value}});
+}
+
+void reviewProbe(std::span<TargetState *const> replicas, TargetState &target,
+                 SubRequestResult result, Context &context)
+{
+    Probation &probation = target.probation;
+    const Probation::Stage stage = probation.stage();
     const Duration fastest = fastestOther(replicas, target);
     // Without a replica to compare with, any answer will do.
     const bool fast = fastest.count() == 0 || isFast(result.latency, fastest);
@@ -123,9 +146,49 @@
     } else if (result.end == SubRequestEnd::Cancelled) {
         probation.onLostProbe(context.now, context.random);
     } else if (result.end == SubRequestEnd::Answered && probation.onFastProbe(context.now)) {
-        target.latency.restart(result.latency, context.now);
-        target.ramp.restart(context.now);
-        context.log(LogEvent::TargetReturned, {{"target", target.info.id.value}});
+        endProbation(stage, target, result.latency, context);
+        return;
+    }
+    if (stage == Probation::Stage::Trial
+        && (probation.triedEnough() || deservesProbation(replicas, target))) {
+        beginProper(target, context);
+    }
+}
+
+} // namespace
+
+bool deservesProbation(std::span<TargetState *const> replicas, const TargetState &target)
+{
+    const Duration fastest = fastestOther(replicas, target);
+    return fastest.count() > 0 && target.latency.trusted()
+            && isSlow(target.latency.mean(), fastest, slowMultiple);
+}
+
+bool deservesTrial(std::span<TargetState *const> replicas, const TargetState &target,
+                   SubRequestResult result)
+{
+    const bool tells =
+            result.end == SubRequestEnd::Answered || result.end == SubRequestEnd::Cancelled;
+    const Duration fastest = fastestOther(replicas, target);
+    if (!tells || fastest.count() == 0 || !isSlow(result.latency, fastest, stragglerMultiple)) {
+        return false;
+    }
+    const auto inactive = std::ranges::count_if(replicas, [](const TargetState *replica) {
+        return replica->usable() && !replica->probation.active();
+    });
+    // This target is one of them, and more than half of the replicas must go on working.
+    return static_cast<std::size_t>(inactive) * replicasPerTrial > replicas.size() + 1;
+}
+
+void reviewProbation(std::span<TargetState *const> replicas, TargetState &target,
+                     SubRequestResult result, Context &context)
+{
+    if (target.probation.active()) {
+        reviewProbe(replicas, target, result, context);
+    } else if (deservesProbation(replicas, target)) {
+        beginProper(target, context);
+    } else if (deservesTrial(replicas, target, result)) {
+        target.probation.begin(Probation::Stage::Trial, context.now, context.random);
     }
 }
 
