Admit by what each service bears, by priority and fairly between callers

Cause: admission knew only the catalogue's limits, so at a crest above capacity queries were taken that no slot could serve in time. Change: each service has a concurrency limit on this node that keeps answers at half of their deadline; the highest priority present counts only itself, lower ones leave room; when little room is left each caller of an entry keeps to its max-min fair share; a deadline that can't be met is refused at once; the wait before the next try is jittered and grows with the part that is refused. The entry's shares of rate and concurrency can be given.

--- a/logic/admission/admission.cpp
+++ b/logic/admission/admission.cpp
@@ -4,6 +4,8 @@
 #include "logic/events.h"
 
 #include <algorithm>
+#include <cmath>
+#include <random>
 
 namespace lagoondeck {
 
@@ -11,47 +13,135 @@
 
 /// A refusal this recent means that the entry is overloaded.
 constexpr Duration overloadMemory = std::chrono::milliseconds(500);
-constexpr Duration refusalRetryAfter = std::chrono::seconds(1);
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration longestRetryAfter = std::chrono::seconds(5);
 /// A burst of this part of a second of the rate passes at once.
 constexpr double burstSeconds = 0.25;
 
+/// The answer tells that the service could not keep up.
+bool tellsOverload(const Answer &answer)
+{
+    return answer.reason == FailureReason::DeadlinePassed
+            || answer.reason == FailureReason::Overloaded
+            || answer.reason == FailureReason::BelowMinimumCoverage;
+}
+
+Duration budgetOf(const CallerRequest &request, const CatalogueEntry &entry)
+{
+    return request.budget.count() > 0 ? std::min(request.budget, entry.deadline) : entry.deadline;
+}
+
 } // namespace
 
-Admission::Admission(Policy policy) : policy(policy) { }
+Admission::Admission(Policy policy, ShareOf shareOf) : policy(policy), shareOf(std::move(shareOf))
+{ }
 
-std::optional<Refusal> Admission::admit(const CallerRequest &, const CatalogueEntry &entry,
-                                        NodeLimits limits, Context &context)
+Admission::EntryLoad &Admission::loadOf(const CatalogueEntry &entry, Instant now)
 {
     EntryLoad &load = this->loads[entry.name];
-    load.lastSeen = context.now;
+    if (load.inFlight == 0) {
+        // While queries are in flight, they are given back as what they were taken as.
+        load.service = entry.service;
+        load.priority = entry.priority;
+    }
+    load.deadline = entry.deadline;
+    load.lastSeen = now;
+    return load;
+}
+
+std::optional<Refusal> Admission::admit(const CallerRequest &request, const CatalogueEntry &entry,
+                                        Context &context)
+{
+    EntryLoad &load = this->loadOf(entry, context.now);
+    ServiceLoad &service = this->services[load.service];
+    load.offered.add(1.0, context.now);
+    load.callers.onOffered(request.caller, context.now);
+    service.onOffered(load.priority, context.now);
     if (this->policy.admissionControl) {
-        if (load.inFlight >= limits.concurrency) {
-            load.lastRefusal = context.now;
-            return Refusal {FailureReason::ConcurrencyLimited, refusalRetryAfter};
-        }
-        const double burst = std::max(1.0, limits.ratePerSecond * burstSeconds);
-        if (!load.rate.take(limits.ratePerSecond, burst, context.now)) {
-            load.lastRefusal = context.now;
-            return Refusal {FailureReason::RateLimited, refusalRetryAfter};
+        if (const auto reason = this->reasonToRefuse(request, entry, load, context)) {
+            return this->refuse(load, *reason, context);
         }
     }
     ++load.inFlight;
+    load.callers.onAdmitted(request.caller, context.now);
+    service.onAdmitted(load.priority);
     return std::nullopt;
 }
 
-void Admission::finished(const EntryName &entry, const Answer &, Context &)
+std::optional<FailureReason> Admission::reasonToRefuse(const CallerRequest &request,
+                                                       const CatalogueEntry &entry, EntryLoad &load,
+                                                       Context &context)
+{
+    const ServiceLoad &service = this->services[load.service];
+    const Duration budget = budgetOf(request, entry);
+    if (service.hopeless(budget)) {
+        return FailureReason::DeadlineTooShort;
+    }
+    const bool fits = service.expectedLatency(context.now) <= budget
+            && service.allows(load.priority, context.now, context.random);
+    if (!fits || (service.scarce() && !load.callers.underShare(request.caller, context.now))) {
+        return FailureReason::Overloaded;
+    }
+    return this->overLimits(entry, load, context.now);
+}
+
+std::optional<FailureReason> Admission::overLimits(const CatalogueEntry &entry, EntryLoad &load,
+                                                   Instant now) const
+{
+    const NodeLimits share = this->shareOf ? this->shareOf(entry)
+                                           : NodeLimits {entry.ratePerSecond, entry.concurrency};
+    // A share below one still lets one query through at a time.
+    if (load.inFlight >= std::max(share.concurrency, 1U)) {
+        return FailureReason::ConcurrencyLimited;
+    }
+    const double burst = std::max(1.0, share.ratePerSecond * burstSeconds);
+    if (!load.rate.take(share.ratePerSecond, burst, now)) {
+        return FailureReason::RateLimited;
+    }
+    return std::nullopt;
+}
+
+Refusal Admission::refuse(EntryLoad &load, FailureReason reason, Context &context) const
+{
+    load.lastRefusal = context.now;
+    load.refused.add(1.0, context.now);
+    if (reason == FailureReason::DeadlineTooShort) {
+        return {reason, Duration::zero()};
+    }
+    const double refused = load.refused.at(context.now);
+    const double admitted = std::max(load.offered.at(context.now) - refused, 1.0);
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    const double wait = static_cast<double>(shortestRetryAfter.count()) * (1.0 + refused / admitted)
+            * jitter(context.random);
+    return {reason, std::min(Duration(static_cast<Duration::rep>(wait)), longestRetryAfter)};
+}
+
+void Admission::finished(const EntryName &entry, const Answer &answer, Context &context)
 {
     const auto found = this->loads.find(entry);
-    if (found != this->loads.end() && found->second.inFlight > 0) {
-        --found->second.inFlight;
+    if (found == this->loads.end() || found->second.inFlight == 0) {
+        return;
+    }
+    EntryLoad &load = found->second;
+    ServiceLoad &service = this->services[load.service];
+    --load.inFlight;
+    if (answer.outcome == Outcome::Answered) {
+        service.onAnswered(load.priority, answer.elapsed, load.deadline, context.now);
+    } else if (tellsOverload(answer)) {
+        service.onMissed(load.priority);
+    } else {
+        service.onEnded(load.priority);
     }
 }
 
 bool Admission::overloaded(const EntryName &entry) const
 {
     const auto found = this->loads.find(entry);
-    return found != this->loads.end() && found->second.lastRefusal
-            && found->second.lastSeen - *found->second.lastRefusal < overloadMemory;
+    if (found == this->loads.end()) {
+        return false;
+    }
+    const EntryLoad &load = found->second;
+    return load.lastRefusal && load.lastSeen - *load.lastRefusal < overloadMemory;
 }
 
 std::uint32_t Admission::inFlight(const EntryName &entry) const
@@ -60,4 +150,24 @@
     return found == this->loads.end() ? 0 : found->second.inFlight;
 }
 
+double Admission::offeredRate(const EntryName &entry, Instant now) const
+{
+    const auto found = this->loads.find(entry);
+    return found == this->loads.end() ? 0.0 : found->second.offered.at(now);
+}
+
+double Admission::wantedConcurrency(const EntryName &entry, Instant now) const
+{
+    const auto found = this->loads.find(entry);
+    if (found == this->loads.end()) {
+        return 0.0;
+    }
+    const auto service = this->services.find(found->second.service);
+    const std::chrono::duration<double> latency = service == this->services.end()
+            ? Duration::zero()
+            : service->second.expectedLatency(now);
+    return std::max(found->second.offered.at(now) * latency.count(),
+                    static_cast<double>(found->second.inFlight));
+}
+
 } // namespace lagoondeck
--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -48,7 +48,8 @@
                  [this](proto::PeerMessage &message) { this->fillGossip(message); }),
       catalogueSync(this->catalogue, this->membership.view()),
       shares(this->catalogue, this->membership), targets(policy, settings.expectedInstances),
-      admission(policy),
+      admission(policy,
+                [this](const CatalogueEntry &entry) { return this->shares.limitsOf(entry.name); }),
       engine(policy, this->targets,
              [this](const EntryName &entry) { return this->admission.overloaded(entry); }),
       claims(settings), quarantine(this->membership.view())
@@ -111,7 +112,7 @@
     }
     const CatalogueEntry &entry = *this->catalogue.find(event.entry);
     const auto refusal =
-            this->admission.admit(event, entry, this->shares.limitsOf(entry.name), context);
+            this->admission.admit(event, entry, context);
     this->demand.arrived(entry.name,
                          refusal && refusal->reason == FailureReason::ConcurrencyLimited);
     if (refusal) {
