Follow the refused sub-request's new way in the fan-out's tests

Cause: a sub-request that an overloaded target refused waits in its shard's queue until the target has rested, where it used to back off by the query's own timer.

--- a/tests/logic/fanout/engine_fixture.h
+++ b/tests/logic/fanout/engine_fixture.h
@@ -116,6 +116,14 @@
         this->engine.onDeadline(QueryId(query), context);
     }
 
+    /// A target that refused work may be asked again.
+    void checkQueues()
+    {
+        Context context = this->context();
+        this->targets.onQueueCheck(context);
+        this->engine.pumpAll(context);
+    }
+
     void look(std::uint64_t query)
     {
         Context context = this->context();
