--- a/logic/selection/target_table.cpp
+++ b/logic/selection/target_table.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr Duration maintenanceInterval = std::chrono::milliseconds(100);
+/// A target that told nothing for this long gets no new work: it may be leaving, and the word of it
+/// has not come. A silent target is asked before that.
+constexpr Duration silentAfter = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -242,7 +245,8 @@
 
 bool TargetTable::isFree(TargetState &state, Instant now) const
 {
-    return state.idleConnection() != nullptr
+    const bool silent = !state.reportedAt || now - *state.reportedAt > silentAfter;
+    return !silent && state.idleConnection() != nullptr
             && (!this->policy.adaptiveLimits || state.limit.allows(state.inFlight, now));
 }
 
--- a/tests/logic/selection/table_fixture.h
+++ b/tests/logic/selection/table_fixture.h
@@ -70,14 +70,25 @@
         this->table.onConnectionClosed({reservation.connection, reservation.target, end}, context);
     }
 
+    /// Every target has just reported, as with each reply and health check.
+    void refreshReports()
+    {
+        for (const TargetInstance &info : this->list.targets) {
+            Context context = this->context();
+            this->table.onReport(info.id, this->report, context);
+        }
+    }
+
     std::optional<Reservation> reserve(std::span<const TargetId> excluded = {})
     {
+        this->refreshReports();
         Context context = this->context();
         return this->table.reserve(this->key, this->snapshot, excluded, context);
     }
 
     std::optional<Reservation> reserveProbe()
     {
+        this->refreshReports();
         Context context = this->context();
         return this->table.reserveProbe(this->key, this->snapshot, {}, context);
     }
