--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -111,8 +111,7 @@
         return;
     }
     const CatalogueEntry &entry = *this->catalogue.find(event.entry);
-    const auto refusal =
-            this->admission.admit(event, entry, context);
+    const auto refusal = this->admission.admit(event, entry, context);
     this->demand.arrived(entry.name,
                          refusal && refusal->reason == FailureReason::ConcurrencyLimited);
     if (refusal) {
