Let the model's targets answer health checks with their report

Cause: since a target that told nothing for 1.5 s gets no new work, the model of the crest sent nothing: its targets answered health checks without the report that docs/PROTOCOLS.md asks for. Change: the model's health checks carry it. Conclusion: the model was wrong, the rule holds.

--- a/tests/logic/admission/crest_model.cpp
+++ b/tests/logic/admission/crest_model.cpp
@@ -242,16 +242,15 @@
         }
     } else if (const auto *opening = std::get_if<OpenConnection>(&effect)) {
         this->after(this->plan.hop * 2, [this, &node, opening = *opening] {
-            TargetReport report;
-            report.snapshots = {{version, this->plan.groups}};
             Context context {this->now, WallTime {}, node.effects, node.random, node.ids};
-            node.table.onConnectionOpened({opening.connection, opening.target, report}, context);
+            node.table.onConnectionOpened({opening.connection, opening.target, this->report()},
+                                          context);
             this->perform(node);
         });
     } else if (const auto *probe = std::get_if<ProbeTarget>(&effect)) {
         this->after(this->plan.hop * 2, [this, &node, probe = *probe] {
             Context context {this->now, WallTime {}, node.effects, node.random, node.ids};
-            node.table.onHealth({probe.connection, probe.target, std::nullopt}, context);
+            node.table.onHealth({probe.connection, probe.target, this->report()}, context);
             this->perform(node);
         });
     } else if (const auto *answer = std::get_if<AnswerCaller>(&effect)) {
@@ -263,6 +262,13 @@
     }
 }
 
+TargetReport CrestModel::report() const
+{
+    TargetReport report;
+    report.snapshots = {{version, this->plan.groups}};
+    return report;
+}
+
 void CrestModel::fire(Node &node, const SetTimer &timer)
 {
     const auto set = node.timers.find(timer.timer);
--- a/tests/logic/admission/crest_model.h
+++ b/tests/logic/admission/crest_model.h
@@ -104,6 +104,8 @@
     void finish(Target &target, std::uint64_t job, ReplyKind kind);
     void cancel(Target &target, std::uint32_t node, AttemptId attempt);
     void reply(Target &target, const Job &job, ReplyKind kind);
+    /// What every health check of a target tells.
+    TargetReport report() const;
     void fire(Node &node, const SetTimer &timer);
 
     struct Action
