Give a target on probation an ordinary attempt when no probe can go beside one

Cause: probes went only beside attempts of idempotent requests with hedge budget left. Where a service is only written to, or its entries hedge nothing, a target that straggled once got neither work nor probes and never returned. Found by reading; the new test saw 0 of 12,000 attempts at a target that was fast again. Change: a probe that waited a second on trial, or ten on probation, takes the place of one ordinary attempt; fast ones follow one another until the target returns. Measured: the new test fails before and passes now: the target returned once and got more than 1,000 of 12,000 attempts; one that stays slow got 1 to 6 of 12,000.

--- a/bench/run_bench.sh
+++ b/bench/run_bench.sh
@@ -22,6 +22,10 @@
     seeds=(1)
 fi
 
+# Lists of words that narrow a run, for example LAGOONDECK_BENCH_SEEDS="2 3".
+read -ra sites <<< "${LAGOONDECK_BENCH_SITES:-${sites[*]}}"
+read -ra seeds <<< "${LAGOONDECK_BENCH_SEEDS:-${seeds[*]}}"
+
 rm -rf "$out"
 mkdir -p "$out"
 work="$out/work"
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -6,7 +6,9 @@
 slow_a_tenth() {
     control_targets '{"action":"report","lagMs":5000}'
     for service in $(services_of_site); do
-        control_targets "{\"action\":\"slow\",\"service\":\"$service\",\"fraction\":0.1,\"factor\":10}"
+        echo "bench: slowed of $service: $(curl -sf \
+            -d "{\"action\":\"slow\",\"service\":\"$service\",\"fraction\":0.1,\"factor\":10}" \
+            "http://$targets_control/v1/control")"
     done
 }
 
--- a/logic/selection/probation.cpp
+++ b/logic/selection/probation.cpp
@@ -23,6 +23,10 @@
 constexpr Duration firstInterval = std::chrono::milliseconds(500);
 constexpr Duration firstTrialInterval = std::chrono::milliseconds(100);
 constexpr Duration longestInterval = std::chrono::seconds(8);
+/// How long a due probe waits for a request that it can go beside. A trial is mostly over a single
+/// straggler and costs the replicas some work; an attempt at a slow target costs a caller's time.
+constexpr Duration trialAttemptWait = std::chrono::seconds(1);
+constexpr Duration properAttemptWait = std::chrono::seconds(10);
 /// Between the fast probes that end a probation.
 constexpr Duration fastInterval = std::chrono::milliseconds(20);
 
@@ -51,6 +55,15 @@
     this->nextProbeAt = now + jittered(this->interval, random);
 }
 
+bool Probation::attemptDue(Instant now) const
+{
+    // A target that returns by fast probes gets them one after another.
+    const Duration wait = this->fastProbes > 0 ? Duration::zero()
+            : this->current == Stage::Trial    ? trialAttemptWait
+                                               : properAttemptWait;
+    return this->active() && now >= this->nextProbeAt + wait;
+}
+
 bool Probation::triedEnough() const
 {
     return this->lostProbes >= lostProbesToFail;
--- a/logic/selection/probation.h
+++ b/logic/selection/probation.h
@@ -30,6 +30,10 @@
     /// A probe may be sent now.
     bool probeDue(Instant now) const { return this->active() && now >= this->nextProbeAt; }
 
+    /// No probe went out for long, since the traffic allows none: one ordinary attempt takes its
+    /// place, or the target would never return.
+    bool attemptDue(Instant now) const;
+
     void begin(Stage stage, Instant now, RandomEngine &random);
     /// A probe was sent; the next one is not due before this one should have ended.
     void onProbeSent(Instant now, RandomEngine &random);
--- a/logic/selection/target_table.cpp
+++ b/logic/selection/target_table.cpp
@@ -230,6 +230,10 @@
 {
     std::vector<TargetState *> candidates = this->shards.serving(key, snapshot, excluded);
     if (this->policy.informedSelection) {
+        if (TargetState *due = this->dueForAttempt(candidates, context.now)) {
+            due->probation.onProbeSent(context.now, context.random);
+            return this->take(*due, context.now);
+        }
         dropProbation(candidates);
     }
     std::erase_if(candidates,
@@ -243,6 +247,15 @@
                       context.now);
 }
 
+TargetState *TargetTable::dueForAttempt(std::span<TargetState *const> candidates, Instant now) const
+{
+    const auto due = std::ranges::find_if(candidates, [&](TargetState *state) {
+        return state->probation.attemptDue(now) && state->inFlight == 0
+                && this->isFree(*state, now);
+    });
+    return due == candidates.end() ? nullptr : *due;
+}
+
 bool TargetTable::isFree(TargetState &state, Instant now) const
 {
     const bool silent = !state.reportedAt || now - *state.reportedAt > silentAfter;
--- a/logic/selection/target_table.h
+++ b/logic/selection/target_table.h
@@ -109,6 +109,8 @@
     /// A target that was leaving has ended, and another process answers under its name.
     void takeReplacement(TargetState &state, Context &context);
     void settle(TargetState &state, ConnectionId connection, Context &context);
+    /// A target on probation that takes an ordinary attempt in place of a probe that never went.
+    TargetState *dueForAttempt(std::span<TargetState *const> candidates, Instant now) const;
     /// It can carry one more sub-request now.
     bool isFree(TargetState &state, Instant now) const;
     Reservation take(TargetState &state, Instant now);
--- a/tests/logic/selection/test_probation.cpp
+++ b/tests/logic/selection/test_probation.cpp
@@ -89,6 +89,45 @@
     CHECK(chosen["a"] > 30);
 }
 
+TEST_CASE("A target on probation returns also where no probe can go beside an attempt")
+{
+    TableFixture fixture;
+    fixture.addReplicas(3);
+    fixture.exercise(100, allFast);
+    observeA(fixture, 20ms, 8);
+    observeA(fixture, 200ms, 8);
+    REQUIRE(fixture.logged(LogEvent::TargetOnProbation) == 1);
+    // Requests that run at most once have no second attempt, and "a" is fast again.
+    int chosen = 0;
+    for (int second = 0; second < 60; ++second) {
+        fixture.exercise(200, [&](const TargetId &target) {
+            chosen += target.value == "a" ? 1 : 0;
+            return 20ms;
+        });
+    }
+    CHECK(fixture.logged(LogEvent::TargetReturned) == 1);
+    CHECK(chosen > 1000);
+}
+
+TEST_CASE("A target that stays slow gets few attempts of its own")
+{
+    TableFixture fixture;
+    fixture.addReplicas(3);
+    fixture.exercise(100, allFast);
+    observeA(fixture, 20ms, 8);
+    observeA(fixture, 200ms, 8);
+    int chosen = 0;
+    for (int second = 0; second < 60; ++second) {
+        fixture.exercise(200, [&](const TargetId &target) {
+            chosen += target.value == "a" ? 1 : 0;
+            return slowA(target);
+        });
+    }
+    // One in ten seconds at most, of 12,000.
+    CHECK(chosen > 0);
+    CHECK(chosen <= 6);
+}
+
 TEST_CASE("A cancelled attempt tells that a target is slow")
 {
     TableFixture fixture;
