Read some of a body that is refused as too long before closing

A connection that is closed with bytes unread is reset, and the reset overtakes the 413. Ruled out: the server's reply itself, which is written before the close. Change: up to 2 MiB or one second of the refused body is read and dropped first. Conclusion: kept; what is longer still may see a reset.

--- a/drivers/caller_handler.cpp
+++ b/drivers/caller_handler.cpp
@@ -42,6 +42,10 @@
 /// A caller that has not sent its body by then is refused, however steadily it sends.
 constexpr Duration bodyBound = std::chrono::seconds(10);
 
+/// How much of a refused body is still read, in bytes and in time.
+constexpr std::streamsize mostDiscarded = 2 * 1024 * 1024;
+constexpr Duration discardBound = std::chrono::seconds(1);
+
 /// How the reading of a body ended.
 enum class BodyEnd {
     Whole,
@@ -81,6 +85,20 @@
     return BodyEnd::Whole;
 }
 
+/// Takes in some of a body that is refused. A connection that is closed with bytes unread is reset,
+/// and a caller that still sends would never see why it was refused.
+void discardSome(HTTPServerRequest &request)
+{
+    const auto giveUpAt = std::chrono::steady_clock::now() + discardBound;
+    std::string chunk(readSize, '\0');
+    std::istream &stream = request.stream();
+    std::streamsize discarded = 0;
+    while (discarded < mostDiscarded && std::chrono::steady_clock::now() < giveUpAt
+           && stream.peek() != std::char_traits<char>::eof()) {
+        discarded += stream.readsome(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+    }
+}
+
 } // namespace
 
 CallerHandler::CallerHandler(PendingAnswers &pending, const CallerServerHooks &hooks,
@@ -141,6 +159,9 @@
     if (end != BodyEnd::Whole) {
         response.setKeepAlive(false);
         const bool slow = end == BodyEnd::TooSlow;
+        if (!slow) {
+            discardSome(request);
+        }
         this->reply(response,
                     slow ? HTTPResponse::HTTP_REQUEST_TIMEOUT
                          : HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE,
--- a/tests/drivers/test_bad_requests.cpp
+++ b/tests/drivers/test_bad_requests.cpp
@@ -97,6 +97,7 @@
             {"a chunk without a size",
              queryWith("Transfer-Encoding: chunked\r\n", "zz\r\n{}\r\n0\r\n\r\n"), "400"},
             {"a long body", sized(std::string(bodyBound + 1, ' ')), "413"},
+            {"a body that is still being sent", sized(std::string(512 * 1024, ' ')), "413"},
             {"a long chunked body",
              queryWith("Transfer-Encoding: chunked\r\n",
                        "2000\r\n" + std::string(0x2000, ' ') + "\r\n0\r\n\r\n"),
