Wait for timers without spinning

Cause: an idle node used 1.25 to 1.44% of a core, over the 1.2% for control. The poll set drops parts of a millisecond, so the loop spun before each timer; and it turned 50 times a second without cause. Change: waits are rounded up to whole milliseconds; a turn without cause comes after 100 ms; who asks for the status wakes the loop. A timer may fire up to a millisecond late.

--- a/drivers/entry_node.cpp
+++ b/drivers/entry_node.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 
-constexpr Duration longestPoll = std::chrono::milliseconds(20);
+/// Also the longest time that a stop signal stays unseen.
+constexpr Duration longestPoll = std::chrono::milliseconds(100);
 constexpr Duration silenceCheckInterval = std::chrono::milliseconds(100);
 /// After the last answer is given, its bytes still have to leave.
 constexpr Duration flushBound = std::chrono::seconds(2);
@@ -140,7 +141,9 @@
     if (const auto next = this->timers.next()) {
         wait = std::clamp(*next - now, Duration(0), wait);
     }
-    for (const auto &[socket, mode] : this->pollSet.poll(Poco::Timespan(wait.count()))) {
+    // The set waits whole milliseconds and drops the rest: a part of one would be spent spinning.
+    const Duration rounded = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    for (const auto &[socket, mode] : this->pollSet.poll(Poco::Timespan(rounded.count()))) {
         this->targets.onReady(socket, mode, now);
     }
 }
@@ -179,6 +182,7 @@
         const std::lock_guard lock(this->statusMutex);
         answer = this->statusRequests.emplace_back().get_future();
     }
+    this->inbox.wake();
     const auto wait = std::chrono::seconds(1);
     return answer.wait_for(wait) == std::future_status::ready ? std::optional(answer.get())
                                                               : std::nullopt;
