--- a/logic/reducer.cpp
+++ b/logic/reducer.cpp
@@ -25,21 +25,6 @@
     return self;
 }
 
-const char *nameOf(MemberStatus status)
-{
-    switch (status) {
-    case MemberStatus::Alive:
-        return "alive";
-    case MemberStatus::Suspect:
-        return "suspect";
-    case MemberStatus::Leaving:
-        return "leaving";
-    case MemberStatus::Dead:
-        return "dead";
-    }
-    return "dead";
-}
-
 } // namespace
 
 Reducer::Reducer(const Settings &settings, Policy policy)
@@ -393,7 +378,7 @@
         status.shares.push_back({name, this->shares.rateShare(name), entry.ratePerSecond});
     }
     for (const Member &member : this->membership.view().others) {
-        status.members.push_back({member.id, member.failureDomain, nameOf(member.status)});
+        status.members.push_back({member.id, member.failureDomain, toString(member.status)});
     }
     status.targets = this->targets.size();
     status.targetsLeaving = this->targets.leavingCount();
--- a/tests/logic/selection/test_probation.cpp
+++ b/tests/logic/selection/test_probation.cpp
@@ -31,15 +31,21 @@
     }
 }
 
-} // namespace
-
-TEST_CASE("A target much slower than its replicas goes on probation and gets probes only")
+/// Three replicas of which "a" has just been slow.
+void putAOnProbation(TableFixture &fixture)
 {
-    TableFixture fixture;
     fixture.addReplicas(3);
     fixture.exercise(100, allFast);
     observeA(fixture, 20ms, 8);
     observeA(fixture, 200ms, 8);
+}
+
+} // namespace
+
+TEST_CASE("A target much slower than its replicas goes on probation and gets probes only")
+{
+    TableFixture fixture;
+    putAOnProbation(fixture);
     REQUIRE(fixture.logged(LogEvent::TargetOnProbation) == 1);
     std::map<std::string, int> chosen;
     fixture.exercise(300, [&](const TargetId &target) {
@@ -58,10 +64,7 @@
 TEST_CASE("Fast probes end the probation, slow ones grow rarer")
 {
     TableFixture fixture;
-    fixture.addReplicas(3);
-    fixture.exercise(100, allFast);
-    observeA(fixture, 20ms, 8);
-    observeA(fixture, 200ms, 8);
+    putAOnProbation(fixture);
     int slowProbes = 0;
     for (int i = 0; i < 400; ++i) {
         fixture.now += 50ms;
@@ -92,10 +95,7 @@
 TEST_CASE("A target on probation returns also where no probe can go beside an attempt")
 {
     TableFixture fixture;
-    fixture.addReplicas(3);
-    fixture.exercise(100, allFast);
-    observeA(fixture, 20ms, 8);
-    observeA(fixture, 200ms, 8);
+    putAOnProbation(fixture);
     REQUIRE(fixture.logged(LogEvent::TargetOnProbation) == 1);
     // Requests that run at most once have no second attempt, and "a" is fast again.
     int chosen = 0;
@@ -112,10 +112,7 @@
 TEST_CASE("A target that stays slow gets few attempts of its own")
 {
     TableFixture fixture;
-    fixture.addReplicas(3);
-    fixture.exercise(100, allFast);
-    observeA(fixture, 20ms, 8);
-    observeA(fixture, 200ms, 8);
+    putAOnProbation(fixture);
     int chosen = 0;
     for (int second = 0; second < 60; ++second) {
         fixture.exercise(200, [&](const TargetId &target) {
@@ -144,10 +141,7 @@
 TEST_CASE("A slow target is used when its replicas are no choice")
 {
     TableFixture fixture;
-    fixture.addReplicas(3);
-    fixture.exercise(100, allFast);
-    observeA(fixture, 20ms, 8);
-    observeA(fixture, 200ms, 8);
+    putAOnProbation(fixture);
     REQUIRE(fixture.logged(LogEvent::TargetOnProbation) == 1);
     {
         Context context = fixture.context();
