--- a/tests/logic/claims/claim_world.cpp
+++ b/tests/logic/claims/claim_world.cpp
@@ -1,6 +1,9 @@
 #include "tests/logic/claims/claim_world.h"
 
+#include "logic/invariant.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace lagoondeck {
@@ -185,9 +188,8 @@
             this->nodes[node]->claims.onAnswered(query, outcome, context);
         });
     }
-    if (!this->ends.emplace(query, told).second) {
-        throw std::logic_error("a sending ended twice");
-    }
+    ensure(this->ends.emplace(query, told).second, Invariant::OneAnswerPerRequest,
+           [] { return std::string("a sending ended twice"); });
 }
 
 void ClaimWorld::scatter(std::size_t idCount)
