Keep retries inside the fleet's budget over windows and restarts

The ratio was used whole although spans reach over the window's edge and requests of probing callers were counted; an instance that restarts forgot what it spent. Change: 0.92 of the ratio and 0.7 of the slack are used, no slack in the first window of a restart.

--- a/core/gateway_settings.h
+++ b/core/gateway_settings.h
@@ -33,6 +33,8 @@
     Duration stopGrace = std::chrono::seconds(6);
     /// A lease of the store lasts at least this long.
     Duration shortestLease = std::chrono::seconds(1);
+    /// The whole fleet starts for the first time: nothing was spent before.
+    bool firstStart = false;
     /// Seed of the random numbers; 0 takes one from the system.
     std::uint64_t seed = 0;
 };
--- a/core/gateway_settings_file.cpp
+++ b/core/gateway_settings_file.cpp
@@ -84,6 +84,7 @@
         reader.readMilliseconds("stopGraceMs", settings.stopGrace, Duration(0), longestGrace);
         reader.readMilliseconds("shortestLeaseMs", settings.shortestLease, Duration(0),
                                 longestLease);
+        reader.read("firstStart", settings.firstStart);
         reader.read("seed", settings.seed, 0, std::numeric_limits<std::uint64_t>::max());
         reader.refuseUnknown();
     }
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 Gateway::Gateway(const GatewaySettings &settings)
-    : random(settings.seed), sync(settings, this->book), registration(settings),
+    : settings(settings), random(settings.seed), sync(settings, this->book), registration(settings),
       forwarder(this->book, settings.retries)
 { }
 
@@ -32,6 +32,9 @@
 {
     this->startedAt = context.now;
     this->book.setInstances(assumedInstances);
+    if (!this->settings.firstStart) {
+        this->book.setSlackFrom(context.now + this->settings.retries.window);
+    }
     this->sync.start(context);
     this->registration.start(context);
 }
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -58,6 +58,7 @@
     void on(const ProcessPaused &event, GatewayContext &context);
     void on(const GatewayStopRequested &event, GatewayContext &context);
 
+    GatewaySettings settings;
     RandomEngine random;
     IdSource ids;
     Instant startedAt {};
--- a/logic/gateway/retry_budget.cpp
+++ b/logic/gateway/retry_budget.cpp
@@ -10,7 +10,10 @@
 constexpr Duration spanLength = std::chrono::milliseconds(200);
 /// The part of the slack that is divided; the rest covers views that differ and restarts, after
 /// which an instance has forgotten what it spent.
-constexpr double dividedPart = 0.75;
+constexpr double dividedPart = 0.7;
+/// The part of the ratio that is used; the rest covers spans that reach over the window's edge and
+/// requests whose callers gave up before they were counted elsewhere.
+constexpr double usedRatio = 0.92;
 
 } // namespace
 
@@ -40,9 +43,11 @@
 double RetryBudget::left(const RetryAllowance &allowance, std::size_t instances, Instant now)
 {
     this->forget(allowance.window, now);
-    const double share = allowance.slack * dividedPart
-            / static_cast<double>(std::max<std::size_t>(instances, 1));
-    return allowance.ratio * this->requests + share - this->extras;
+    const double share = now < this->slackFrom
+            ? 0.0
+            : allowance.slack * dividedPart
+                    / static_cast<double>(std::max<std::size_t>(instances, 1));
+    return allowance.ratio * usedRatio * this->requests + share - this->extras;
 }
 
 bool RetryBudget::take(const RetryAllowance &allowance, std::size_t instances, double reserve,
--- a/logic/gateway/target_book.cpp
+++ b/logic/gateway/target_book.cpp
@@ -64,6 +64,7 @@
     if (group == nullptr) {
         group = std::make_unique<TargetGroup>();
         group->name = name;
+        group->budget = RetryBudget(this->slackFrom);
     }
     return *group;
 }
--- a/logic/gateway/target_book.h
+++ b/logic/gateway/target_book.h
@@ -61,6 +61,8 @@
     void setCaps(const RoutingConfig &config);
     /// How many entry instances share the targets' connections.
     void setInstances(std::size_t count) { this->instances = count; }
+    /// Groups have a part of the retries' slack from then on.
+    void setSlackFrom(Instant at) { this->slackFrom = at; }
 
     // Requests.
 
@@ -93,6 +95,7 @@
     std::vector<std::unique_ptr<TargetNode>> retired;
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
     std::size_t instances = 1;
+    Instant slackFrom {};
 };
 
 } // namespace lagoondeck
