--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -32,6 +32,7 @@
 {
     this->startedAt = context.now;
     this->book.setInstances(assumedInstances);
+    this->book.setFailureDomain(this->settings.failureDomain);
     if (!this->settings.firstStart) {
         this->book.setSlackFrom(context.now + this->settings.retries.window);
     }
--- a/logic/gateway/target_book.cpp
+++ b/logic/gateway/target_book.cpp
@@ -30,6 +30,9 @@
 constexpr double stallCostMs = 60.0;
 /// What a certain failure costs.
 constexpr double failureCostMs = 120.0;
+/// Bytes between failure domains are paid for; a replica of the own one is preferred while it costs
+/// no more than this much latency.
+constexpr double remoteCost = 1.25;
 constexpr double warmupSlowness = 1.6;
 /// Equal targets are told apart by this much chance, so that instances don't move in step.
 constexpr double chancePart = 0.1;
@@ -145,7 +148,8 @@
                         RandomEngine &random) const
 {
     const double queue = 1.0 + static_cast<double>(target.inFlight) / target.record.slots;
-    double slowness = slownessNow(target, now);
+    double slowness = slownessNow(target, now)
+            * (target.record.failureDomain == this->failureDomain ? 1.0 : remoteCost);
     if (now < target.warmUntil) {
         slowness = std::max(slowness, warmupSlowness);
     }
--- a/logic/gateway/target_book.h
+++ b/logic/gateway/target_book.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lagoondeck {
@@ -61,6 +62,8 @@
     /// Whether a record tells more than a heartbeat.
     bool isNews(const TargetRecord &record) const;
     void setCaps(const RoutingConfig &config);
+    /// Targets of another failure domain cost more.
+    void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
     /// How many entry instances share the targets' connections.
     void setInstances(std::size_t count) { this->instances = count; }
     /// Groups have a part of the retries' slack from then on.
@@ -95,6 +98,7 @@
     /// Targets that are gone while requests are still out there.
     std::vector<std::unique_ptr<TargetNode>> retired;
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
+    FailureDomain failureDomain;
     std::size_t instances = 1;
     Instant slackFrom {};
 };
