--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -106,7 +106,9 @@
     /// Empty when the exchange has been answered without it.
     std::optional<ExchangeId> exchange;
     std::size_t part = 0;
+    /// Gone once the attempt has ended: the book may have dropped the target then.
     TargetNode *target = nullptr;
+    TargetId targetId;
     LatencyModel *latency = nullptr;
     TargetGroup *group = nullptr;
     Instant sentAt {};
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -198,8 +198,8 @@
     const AttemptId id = context.ids.next<AttemptId>();
     const Duration left = exchange.deadlineAt - context.now - wayBack;
     this->attempts.emplace(id,
-                           GatewayAttempt {exchange.id, index, &target, exchange.latency,
-                                           part.group, context.now,
+                           GatewayAttempt {exchange.id, index, &target, target.record.id,
+                                           exchange.latency, part.group, context.now,
                                            exchange.deadlineAt + closeAfterDeadline});
     this->timers.push({exchange.deadlineAt + closeAfterDeadline, TimerKind::Attempt, id.value});
     this->book.onSent(target, context.now);
@@ -265,6 +265,7 @@
     GatewayAttempt attempt = found->second;
     this->attempts.erase(found);
     this->book.onEnded(*attempt.target, attempt.sentAt, outcome, *attempt.latency, context.now);
+    attempt.target = nullptr;
     if (attempt.exchange) {
         if (Exchange *exchange = this->find(*attempt.exchange)) {
             std::erase(exchange->parts[attempt.part].out, id);
@@ -289,7 +290,7 @@
     Exchange *exchange = attempt.exchange ? this->find(*attempt.exchange) : nullptr;
     if (exchange != nullptr) {
         Part &part = exchange->parts[attempt.part];
-        exchange->note(traceOf(reply.kind), attempt.part, attempt.target->record.id, context.now);
+        exchange->note(traceOf(reply.kind), attempt.part, attempt.targetId, context.now);
         if (reply.kind == ReplyClass::Success && part.open()) {
             part.phase = PartPhase::Answered;
             part.reply = event.reply;
@@ -323,7 +324,7 @@
         exchange->note(event.kind == AttemptEndKind::Unreachable       ? TraceKind::Unreachable
                                : event.kind == AttemptEndKind::Spoiled ? TraceKind::Spoiled
                                                                        : TraceKind::Lost,
-                       attempt.part, attempt.target->record.id, context.now);
+                       attempt.part, attempt.targetId, context.now);
         if (event.kind == AttemptEndKind::Unreachable) {
             --part.mayHaveRun;
             --part.arrived;
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -79,7 +79,8 @@
     std::string text = line.value("name", "");
     for (const auto &[name, value] : line.items()) {
         if (name != "time" && name != "instance" && name != "event" && name != "name") {
-            text += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+            text += " " + name + "="
+                    + (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
     return text;
@@ -104,15 +105,14 @@
         return "its target ran it and failed, and the failure was passed on";
     }
     if (reason == "targets-failed") {
-        return "its attempts came to nothing and no further one was allowed: "
-                + missingParts(line);
+        return "its attempts came to nothing and no further one was allowed: " + missingParts(line);
     }
     if (reason == "deadline-passed") {
         return "no answer came in its time: " + missingParts(line);
     }
     if (reason == "caller-left") {
-        return "its caller closed the connection after " + std::to_string(line.value("elapsedMs", 0))
-                + " ms";
+        return "its caller closed the connection after "
+                + std::to_string(line.value("elapsedMs", 0)) + " ms";
     }
     const std::string missing = missingParts(line);
     if (!missing.empty()) {
@@ -152,8 +152,8 @@
         if (eventOf(line) == static_cast<int>(LogEvent::LogLinesDropped)) {
             this->droppedLines += line.value("lines", std::size_t(0));
         }
-        this->states.push_back({line.value("time", ""), line.value("instance", ""),
-                                stateText(line)});
+        this->states.push_back(
+                {line.value("time", ""), line.value("instance", ""), stateText(line)});
     }
 }
 
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -47,6 +47,8 @@
                 this->closed.push_back(close->attempt);
             } else if (auto *answer = std::get_if<AnswerExchange>(&effect)) {
                 this->answers[answer->exchange].push_back(answer->reply);
+            } else if (auto *log = std::get_if<WriteLog>(&effect)) {
+                this->logs.push_back(*log);
             } else if (auto *tell = std::get_if<TellNews>(&effect)) {
                 this->told.push_back(*tell);
             } else if (auto *call = std::get_if<CallStore>(&effect)) {
@@ -182,6 +184,7 @@
     std::map<ExchangeId, std::vector<CallerReply>> answers;
     std::vector<CallStore> calls;
     std::vector<TellNews> told;
+    std::vector<WriteLog> logs;
     std::uint64_t revision = 0;
     std::uint64_t lastExchange = 0;
 };
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -50,8 +50,9 @@
     Gateway fresh(World::settingsOf({}));
     const auto effects = fresh.apply(
             RequestArrived {ExchangeId(1), std::make_shared<const ForwardedRequest>()}, world.now);
-    REQUIRE(effects.size() == 1);
-    const auto &answer = std::get<AnswerExchange>(effects.front());
+    // A line for the log, and the answer.
+    REQUIRE(effects.size() == 2);
+    const auto &answer = std::get<AnswerExchange>(effects.back());
     CHECK(answer.reply.status == 503);
     CHECK(answer.reply.retryAfter > Duration(0));
     CHECK_FALSE(fresh.ready());
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -65,6 +65,41 @@
     CHECK_FALSE(served(world));
 }
 
+TEST_CASE("a target may be removed while a request is out there")
+{
+    World world(configOf({plainRoute("/p/", "g", true)}, 5),
+                {target("a-target-with-a-name-of-some-length", "g")});
+    world.ask("/p/x", std::chrono::seconds(30));
+    const std::size_t first = world.started.size() - 1;
+    // Its long name would be read from freed memory if the target were dropped too early.
+    world.tell({World::removal("a-target-with-a-name-of-some-length")});
+    world.ask("/p/y");
+    world.apply(AttemptEnded {world.started[first].attempt, AttemptEndKind::Lost});
+    CHECK(world.gateway.status(world.now).attempts == 0);
+
+    world.tell({World::targetChange(target("another-target-with-a-long-name", "g"), 0)});
+    const ExchangeId id = world.ask("/p/z");
+    const AttemptId out = world.started.back().attempt;
+    StoreAnswer gone;
+    gone.verdict = StoreVerdict::Done;
+    gone.revision = world.revision + 1;
+    gone.changes.push_back(World::removal("another-target-with-a-long-name"));
+    gone.changes.back().revision = gone.revision;
+    world.pass(milliseconds(400));
+    REQUIRE(world.answerStore<WatchWorld>(gone));
+    world.apply(AttemptEnded {out, AttemptEndKind::Lost});
+    REQUIRE(world.answerOf(id));
+    bool named = false;
+    for (const WriteLog &log : world.logs) {
+        for (const LogField &field : log.fields) {
+            named = named
+                    || field.value.find("lost p0 another-target-with-a-long-name")
+                            != std::string::npos;
+        }
+    }
+    CHECK(named);
+}
+
 TEST_CASE("the watch is asked again soon enough for a leaving target's bound")
 {
     World world = oneTarget();
