Close attempts that lost the race after two median latencies

Cause: attempts left behind by hedges and by answers at the objective held the connection share and the slots of slow targets until the deadline ('wait' steps, partial answers).

--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -26,6 +26,9 @@
 constexpr int waitPart = 5;
 /// A target's reply to a caller that has left is waited for this long, which saves a connection.
 constexpr Duration keepAfterCallerLeft = std::chrono::milliseconds(300);
+/// An attempt that lost the race is worth its connection for so many median latencies; a target that
+/// takes longer is in trouble, and a closed connection frees its slot.
+constexpr int keepLostMedians = 2;
 /// An attempt without a reply is given up this long after its time has passed.
 constexpr Duration closeAfterDeadline = std::chrono::milliseconds(100);
 /// A target is never told less than this: it would refuse at once.
@@ -419,7 +422,7 @@
     const ExchangeId id = exchange.id;
     ExchangeEnd end = this->endOf(exchange, reason, reply.status, context.now);
     logEnd(*exchange.request, end, &exchange, this->sampleOneIn, context);
-    this->release(exchange, exchange.deadlineAt + closeAfterDeadline, context);
+    this->release(exchange, context.now + keepLostMedians * exchange.latency->median(), context);
     context.emit(AnswerExchange {id, std::move(reply), std::move(end)});
     this->exchanges.erase(id);
 }
