--- a/logic/gateway/target_book.cpp
+++ b/logic/gateway/target_book.cpp
@@ -94,17 +94,6 @@
     this->targets.emplace(record.id, std::move(node));
 }
 
-bool TargetBook::isNews(const TargetRecord &record) const
-{
-    const auto found = this->targets.find(record.id);
-    if (found == this->targets.end()) {
-        return true;
-    }
-    TargetRecord known = found->second->record;
-    known.warmupLeft = record.warmupLeft;
-    return known != record;
-}
-
 void TargetBook::detach(TargetNode &target)
 {
     auto &members = this->group(target.record.group).targets;
--- a/logic/gateway/target_book.h
+++ b/logic/gateway/target_book.h
@@ -59,8 +59,6 @@
 
     void update(const TargetRecord &record, Instant now);
     void remove(const TargetId &target);
-    /// Whether a record tells more than a heartbeat.
-    bool isNews(const TargetRecord &record) const;
     void setCaps(const RoutingConfig &config);
     /// Targets of another failure domain cost more.
     void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
--- a/logic/gateway/world_sync_members.cpp
+++ b/logic/gateway/world_sync_members.cpp
@@ -32,7 +32,21 @@
 bool WorldSync::isNews(const WorldChange &change) const
 {
     const auto *record = std::get_if<TargetRecord>(&change.content);
-    return change.part != WorldPart::Other && (record == nullptr || this->book.isNews(*record));
+    const auto known = this->items.find(change.key);
+    if (change.part == WorldPart::Other) {
+        return false;
+    }
+    if (record == nullptr || known == this->items.end()) {
+        // A key that was removed is news when it is back, even if its target was not dropped yet.
+        return true;
+    }
+    const auto *before = std::get_if<TargetRecord>(&known->second.content);
+    if (before == nullptr) {
+        return true;
+    }
+    TargetRecord same = *before;
+    same.warmupLeft = record->warmupLeft;
+    return same != *record;
 }
 
 std::shared_ptr<WorldNews> WorldSync::newsOf(const StoreAnswer &answer) const
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -236,6 +236,21 @@
     CHECK(world.told[0].news->to == world.revision);
 }
 
+TEST_CASE("an entry that comes back while it is still kept is told to the other members")
+{
+    World world = oneTarget();
+    world.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    storeAway(world, std::chrono::seconds(5));
+    world.tell({World::removal("t")});
+    REQUIRE(served(world));
+    world.told.clear();
+    // Here it was never dropped; another member may have.
+    world.tell({World::targetChange(target("t", "g"), 0)});
+    REQUIRE(world.told.size() == 1);
+    REQUIRE(world.told[0].news->changes.size() == 1);
+    CHECK(world.told[0].news->changes[0].id == "t");
+}
+
 TEST_CASE("news of a member are taken when nothing in between is missed")
 {
     World world = oneTarget();
