--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -73,6 +73,8 @@
          "This process did not run for a while; what it held is checked again."},
         {LogEvent::CutOffNoticed, "CutOffNoticed", LogSeverity::Warning,
          "No entry instance was heard for a while; this one may be cut off."},
+        {LogEvent::BeliefsDiffer, "BeliefsDiffer", LogSeverity::Warning,
+         "Another entry instance believes something else of the same revision; all is read anew."},
         {LogEvent::ClaimResolved, "ClaimResolved", LogSeverity::Info,
          "A claim whose store reply was lost was read back."},
         {LogEvent::ClaimUncertain, "ClaimUncertain", LogSeverity::Warning,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -47,6 +47,7 @@
     PeerMessageRefused = 410,
     PauseNoticed = 420,
     CutOffNoticed = 421,
+    BeliefsDiffer = 430,
     ClaimResolved = 500,
     ClaimUncertain = 501,
     RequestServed = 600,
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -26,8 +26,8 @@
 constexpr int waitPart = 5;
 /// A target's reply to a caller that has left is waited for this long, which saves a connection.
 constexpr Duration keepAfterCallerLeft = std::chrono::milliseconds(300);
-/// An attempt that lost the race is worth its connection for so many median latencies; a target that
-/// takes longer is in trouble, and a closed connection frees its slot.
+/// An attempt that lost the race is worth its connection for so many median latencies; a target
+/// that takes longer is in trouble, and a closed connection frees its slot.
 constexpr int keepLostMedians = 2;
 /// An attempt without a reply is given up this long after its time has passed.
 constexpr Duration closeAfterDeadline = std::chrono::milliseconds(100);
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -69,6 +69,8 @@
     bool full = false;
     /// Removed keys may come back for so long.
     Duration grace {};
+    /// Stands for all that the sender believes at the revision; 0 for none.
+    std::uint64_t digest = 0;
     /// The sender can't reach the store and asks for what is newer than its revision.
     bool wants = false;
 };
--- a/logic/gateway/world_sync.h
+++ b/logic/gateway/world_sync.h
@@ -74,6 +74,10 @@
     /// Asks a member or a seed while the store can't be reached.
     void wish(GatewayContext &context);
     bool isNews(const WorldChange &change) const;
+    /// Stands for all keys and what they mean, without heartbeats.
+    std::uint64_t digest() const;
+    /// Reads everything anew when a member believes something else at the same revision.
+    void compare(const WorldNews &news, GatewayContext &context);
     /// The place of this instance in the order of the members' names, from 0.
     std::ptrdiff_t rank() const;
     Duration watchWait() const;
@@ -108,6 +112,7 @@
     /// Until then removed keys may come back.
     Instant graceUntil {};
     Instant heardAt {};
+    Instant comparedAt {};
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/world_sync_members.cpp
+++ b/logic/gateway/world_sync_members.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 #include <variant>
+#include <xxhash.h>
 
 namespace lagoondeck {
 
@@ -14,6 +15,8 @@
 
 /// No member waits longer than for this rank.
 constexpr std::ptrdiff_t mostRank = 3;
+/// Between two readings because of beliefs that differ.
+constexpr Duration compareInterval = std::chrono::seconds(5);
 constexpr Duration wishInterval = std::chrono::milliseconds(500);
 
 } // namespace
@@ -71,6 +74,7 @@
         return;
     }
     news->grace = std::max<Duration>(this->graceUntil - context.now, Duration(0));
+    news->digest = this->digest();
     effect.news = news;
     context.emit(std::move(effect));
 }
@@ -97,6 +101,39 @@
     if (!this->operation && !this->health.isAway() && this->rank() > 0) {
         this->askAt = context.now + this->patience();
     }
+    this->compare(news, context);
+}
+
+std::uint64_t WorldSync::digest() const
+{
+    std::uint64_t sum = 1;
+    for (const auto &[key, item] : this->items) {
+        std::string text = key;
+        if (const auto *target = std::get_if<TargetRecord>(&item.content)) {
+            text += "|" + std::to_string(target->startedAtMs) + "|" + target->group.value + "|"
+                    + target->address + (target->leaving ? "|leaving" : "");
+        } else if (const auto *config = std::get_if<RoutingConfigPtr>(&item.content)) {
+            text += "|" + std::to_string((*config)->version);
+        }
+        sum += XXH3_64bits(text.data(), text.size());
+    }
+    return sum;
+}
+
+void WorldSync::compare(const WorldNews &news, GatewayContext &context)
+{
+    if (news.digest == 0 || news.digest == this->digest()
+        || context.now - this->comparedAt < compareInterval) {
+        return;
+    }
+    this->comparedAt = context.now;
+    context.log(LogEvent::BeliefsDiffer,
+                {numberField("storeRevision", static_cast<std::int64_t>(news.to))});
+    if (!this->operation) {
+        this->beginReading();
+        this->askAt = context.now;
+        this->ask(context);
+    }
 }
 
 void WorldSync::takeFullNews(const WorldNews &news, GatewayContext &context)
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -272,6 +272,31 @@
     }
 }
 
+TEST_CASE("members that believe different things of one revision are found out")
+{
+    World world = oneTarget();
+    WorldNewsReceived news = newsOf(world.revision, world.revision, {});
+    world.calls.clear();
+    news.news.digest = 12345;
+    world.apply(news);
+    CHECK(world.answerStore<ReadWorld>(verdict(StoreVerdict::NoAnswer)));
+}
+
+TEST_CASE("members that believe the same leave it at that")
+{
+    World first = oneTarget();
+    first.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    first.told.clear();
+    first.tell({});
+    REQUIRE(first.told.size() == 1);
+    World second = oneTarget();
+    second.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    second.tell({});
+    second.calls.clear();
+    second.apply(WorldNewsReceived {"127.0.0.1:7001", *first.told[0].news});
+    CHECK_FALSE(second.answerStore<ReadWorld>(verdict(StoreVerdict::NoAnswer)));
+}
+
 TEST_CASE("an answer of the store that crossed newer news changes nothing back")
 {
     World world = oneTarget();
