--- a/logic/gateway/target_book.cpp
+++ b/logic/gateway/target_book.cpp
@@ -32,7 +32,7 @@
 constexpr double failureCostMs = 120.0;
 /// Bytes between failure domains are paid for; a replica of the own one is preferred while it costs
 /// no more than this much latency.
-constexpr double remoteCost = 1.25;
+constexpr double remoteCost = 1.6;
 constexpr double warmupSlowness = 1.6;
 /// Equal targets are told apart by this much chance, so that instances don't move in step.
 constexpr double chancePart = 0.1;
