--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -45,7 +45,6 @@
                 std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks, now);
     }
     chosen->operation = effect.operation;
-    chosen->call = effect.call;
     chosen->answerBy = now + effect.timeout;
     ClientLink *link = chosen->link.get();
     if (fresh) {
@@ -59,7 +58,7 @@
 bool StoreLink::onReply(ClientLink &link, HttpMessage message)
 {
     Entry &entry = this->links.at(link.id());
-    StoreAnswered answered {entry.operation, wire::readStoreAnswer(entry.call, message)};
+    StoreAnswered answered {entry.operation, wire::readStoreAnswer(message)};
     entry.operation = StoreOpId();
     link.idleUntil = monotonicNow() + idleTime;
     this->sink(std::move(answered));
--- a/drivers/edge/store_link.h
+++ b/drivers/edge/store_link.h
@@ -34,7 +34,6 @@
         std::unique_ptr<ClientLink> link;
         /// Zero while the link is idle.
         StoreOpId operation;
-        StoreCallBody call;
         Instant answerBy {};
     };
 
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -1,9 +1,9 @@
 #include "logic/gateway/forwarder.h"
 
+#include "logic/gateway/exchange_log.h"
 #include "logic/gateway/record_merge.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace lagoondeck {
 
@@ -39,53 +39,6 @@
 /// Second attempts leave this much of the budget to retries after failures.
 constexpr double hedgeReserve = 3.0;
 
-TraceKind traceOf(ReplyClass kind)
-{
-    switch (kind) {
-    case ReplyClass::Success:
-        return TraceKind::Answered;
-    case ReplyClass::Failure:
-        return TraceKind::Failed;
-    case ReplyClass::NotRun:
-        return TraceKind::Refused;
-    case ReplyClass::Unusable:
-        break;
-    }
-    return TraceKind::Spoiled;
-}
-
-/// One line for the end of a request; the exchange is null when there was none.
-void logEnd(const ForwardedRequest &request, const ExchangeEnd &end, const Exchange *exchange,
-            std::uint64_t sampleOneIn, GatewayContext &context)
-{
-    const bool good = end.outcome == ExchangeOutcome::Served;
-    // Every instance takes the same requests into the sample.
-    if (good
-        && (sampleOneIn == 0
-            || XXH3_64bits(request.requestId.data(), request.requestId.size()) % sampleOneIn
-                    != 0)) {
-        return;
-    }
-    std::vector<LogField> fields {{"request", request.requestId},
-                                  {"outcome", toString(end.outcome)},
-                                  {"reason", toString(end.reason)}};
-    if (exchange != nullptr) {
-        fields.push_back({"route", end.route});
-        fields.push_back(
-                numberField("configVersion", static_cast<std::int64_t>(exchange->config->version)));
-        fields.push_back(numberField("beliefAgeMs", toMilliseconds(exchange->beliefAge)));
-        fields.push_back(numberField("elapsedMs", toMilliseconds(end.elapsed)));
-        fields.push_back(numberField("objectiveMs", toMilliseconds(exchange->route->objective)));
-        fields.push_back(numberField("partsNeeded", static_cast<std::int64_t>(end.partsNeeded)));
-        fields.push_back(
-                numberField("partsAnswered", static_cast<std::int64_t>(end.partsAnswered)));
-        fields.push_back({"steps", exchange->trace.text()});
-    } else {
-        fields.push_back({"host", request.host});
-    }
-    context.log(good ? LogEvent::RequestServed : LogEvent::RequestTroubled, std::move(fields));
-}
-
 } // namespace
 
 Forwarder::Forwarder(TargetBook &book, RetryAllowance allowance, std::uint64_t sampleOneIn)
--- a/logic/gateway/registration.h
+++ b/logic/gateway/registration.h
@@ -21,7 +21,6 @@
     /// Ends the lease: this instance stops.
     void withdraw(GatewayContext &context);
     Instant nextTimer() const;
-    bool registered() const { return this->step == Step::Renew; }
 
 private:
     enum class Step { Grant, Register, Renew, Withdrawn };
--- a/logic/gateway/world_sync.cpp
+++ b/logic/gateway/world_sync.cpp
@@ -97,7 +97,7 @@
     this->operation.reset();
     switch (event.answer.verdict) {
     case StoreVerdict::Done:
-        if (this->health.onAnswered(context.now)) {
+        if (this->health.onAnswered()) {
             this->graceUntil = context.now + returnGrace;
             context.log(LogEvent::StoreAvailable, {});
         }
@@ -107,7 +107,7 @@
                       : this->onChanges(event.answer, context);
         break;
     case StoreVerdict::HistoryGone:
-        if (this->health.onAnswered(context.now)) {
+        if (this->health.onAnswered()) {
             this->graceUntil = context.now + returnGrace;
         }
         this->beginReading();
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -149,10 +149,8 @@
         {
             const bool late = EventLoop::now() >= end;
             if (store.revision > after || late) {
-                store.answerWatch(id, prefix, after, late);
-                if (store.revision > after || late) {
-                    return;
-                }
+                store.answerWatch(id, prefix, after);
+                return;
             }
             store.loop.after(watchCheck, [&store, id, prefix, after, end] {
                 look(store, id, prefix, after, end);
@@ -162,8 +160,7 @@
     Waiter::look(*this, id, prefix, after, end);
 }
 
-void PlatformStore::answerWatch(std::uint64_t id, const std::string &prefix, std::uint64_t after,
-                                bool)
+void PlatformStore::answerWatch(std::uint64_t id, const std::string &prefix, std::uint64_t after)
 {
     const auto connection = this->server.find(id);
     if (connection == nullptr) {
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -53,8 +53,7 @@
     void onRead(HttpConnection &connection, const std::map<std::string, std::string> &query);
     void onWatch(HttpConnection &connection, const std::map<std::string, std::string> &query);
     void onTransaction(HttpConnection &connection, const nlohmann::json &body);
-    void answerWatch(std::uint64_t connection, const std::string &prefix, std::uint64_t after,
-                     bool evenIfEmpty);
+    void answerWatch(std::uint64_t connection, const std::string &prefix, std::uint64_t after);
     void endLease(std::uint64_t lease);
     nlohmann::json describe(const std::string &key, const Item &item) const;
 
--- a/tests/platform/test_world_decoder.cpp
+++ b/tests/platform/test_world_decoder.cpp
@@ -105,7 +105,7 @@
         HttpMessage reply;
         reply.status = status;
         reply.body = body;
-        return wire::readStoreAnswer(ReadWorld {}, reply).verdict;
+        return wire::readStoreAnswer(reply).verdict;
     };
     CHECK(verdictOf(200, R"({"items":[],"has_more":false,"store_revision":5})")
           == StoreVerdict::Done);
@@ -126,7 +126,7 @@
     reply.body =
             R"({"events":[{"key":"servers/a","value":"e30=","revision":4,"created":4,"lease":0},)"
             R"({"key":"servers/a","revision":5,"removed":true}],"store_revision":6})";
-    const StoreAnswer answer = wire::readStoreAnswer(WatchWorld {3}, reply);
+    const StoreAnswer answer = wire::readStoreAnswer(reply);
     REQUIRE(answer.changes.size() == 2);
     CHECK_FALSE(answer.changes[0].removed);
     CHECK(answer.changes[1].removed);
