Reserve a part of the retry budget for failures instead of a fixed count

Cause: on the grown sites each instance has about four extra arrivals a window and group; a reserve of three left second attempts one, so a pause of any of 36 shards made most gathered answers late. Conclusion: kept; the reserve is now a tenth of what a window earns.

--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -36,8 +36,8 @@
 constexpr Duration retryAfterRefusal = std::chrono::milliseconds(20);
 /// Connections that can't be made cost a request no attempt, up to this many.
 constexpr std::uint32_t mostUnsent = 4;
-/// Second attempts leave this much of the budget to retries after failures.
-constexpr double hedgeReserve = 3.0;
+/// Second attempts leave this part of the budget to retries after failures.
+constexpr double hedgeReservedPart = 0.1;
 
 } // namespace
 
@@ -181,7 +181,7 @@
     if (choice.target == nullptr || choice.target->inFlight >= choice.target->record.slots) {
         return;
     }
-    if (!part.group->budget.take(this->allowance, this->book.instanceCount(), hedgeReserve,
+    if (!part.group->budget.take(this->allowance, this->book.instanceCount(), hedgeReservedPart,
                                  context.now)) {
         ++this->count.withoutBudget;
         exchange.note(TraceKind::NoBudget, index, {}, context.now);
--- a/logic/gateway/retry_budget.cpp
+++ b/logic/gateway/retry_budget.cpp
@@ -40,19 +40,21 @@
     ++this->requests;
 }
 
-double RetryBudget::left(const RetryAllowance &allowance, std::size_t instances, Instant now)
+double RetryBudget::earned(const RetryAllowance &allowance, std::size_t instances,
+                           Instant now) const
 {
-    this->forget(allowance.window, now);
     const double share = now < this->slackFrom ? 0.0
                                                : allowance.slack * dividedPart
                     / static_cast<double>(std::max<std::size_t>(instances, 1));
-    return allowance.ratio * usedRatio * this->requests + share - this->extras;
+    return allowance.ratio * usedRatio * this->requests + share;
 }
 
-bool RetryBudget::take(const RetryAllowance &allowance, std::size_t instances, double reserve,
+bool RetryBudget::take(const RetryAllowance &allowance, std::size_t instances, double reservedPart,
                        Instant now)
 {
-    if (this->left(allowance, instances, now) < 1.0 + reserve) {
+    this->forget(allowance.window, now);
+    const double earned = this->earned(allowance, instances, now);
+    if (earned * (1.0 - reservedPart) - this->extras < 1.0) {
         return false;
     }
     ++this->current(now).extras;
--- a/logic/gateway/retry_budget.h
+++ b/logic/gateway/retry_budget.h
@@ -21,10 +21,10 @@
 
     /// A request for the group arrived.
     void onRequest(Instant now);
-    /// Takes one extra arrival; false when none is left beyond the reserve.
-    bool take(const RetryAllowance &allowance, std::size_t instances, double reserve, Instant now);
-    /// What could be taken now.
-    double left(const RetryAllowance &allowance, std::size_t instances, Instant now);
+    /// Takes one extra arrival; false when none is left beyond the reserved part of the window's
+    /// allowance.
+    bool take(const RetryAllowance &allowance, std::size_t instances, double reservedPart,
+              Instant now);
 
 private:
     /// Counts of one short span.
@@ -35,6 +35,8 @@
         std::uint32_t extras = 0;
     };
 
+    /// What this instance may send in the window, used or not.
+    double earned(const RetryAllowance &allowance, std::size_t instances, Instant now) const;
     Span &current(Instant now);
     void forget(Duration window, Instant now);
 
