Pass news on in a tree of members

Cause: on the grown sites the member that asks the store sent each change to all 76 others itself. Ruled out by a trace of slow turns: no turn of the loop took over 140 ms. Change: whoever asked tells eight members, and each passes the news on to its children in a tree over the members' names. A member behind one that passes nothing on asks the store itself, as before. Fleets of up to nine hear news as before.

--- a/drivers/edge/peer_news.cpp
+++ b/drivers/edge/peer_news.cpp
@@ -17,6 +17,7 @@
     world.set_full(news.full);
     world.set_wants(news.wants);
     world.set_digest(news.digest);
+    world.set_origin(news.origin.value);
     world.set_grace_us(news.grace.count());
     for (const WorldChange &change : news.changes) {
         proto::WorldItem &item = *world.add_items();
@@ -43,6 +44,7 @@
     received.news.full = world.full();
     received.news.wants = world.wants();
     received.news.digest = world.digest();
+    received.news.origin = InstanceId(world.origin());
     received.news.grace = Duration(world.grace_us());
     for (const proto::WorldItem &item : world.items()) {
         received.news.changes.push_back(
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -73,6 +73,8 @@
     std::uint64_t digest = 0;
     /// The sender can't reach the store and asks for what is newer than its revision.
     bool wants = false;
+    /// The member that asked the store; the others pass its news on. Empty when nobody does.
+    InstanceId origin;
 };
 
 /// News of another member.
--- a/logic/gateway/world_sync.h
+++ b/logic/gateway/world_sync.h
@@ -23,9 +23,9 @@
 /// between two questions: each costs the platform, and the targets' heartbeats alone would make
 /// one a few milliseconds long.
 ///
-/// Whoever asked tells the other members what was new, and who has heard news asks later; so
-/// mostly the first member in the order of names asks for all, and the next one takes over when it
-/// falls silent. An instance that can't reach the store asks a member or a seed for all there is.
+/// Whoever asked tells the other members what was new, in a tree of members that pass it on, and who
+/// has heard news asks later; so mostly the first member in the order of names asks for all, and the
+/// next one takes over when it falls silent. A member behind one that passes nothing on asks itself. An instance that can't reach the store asks a member or a seed for all there is.
 class WorldSync
 {
 public:
@@ -69,6 +69,9 @@
     /// What an answer of the store holds beside heartbeats; to be asked before it is taken.
     std::shared_ptr<WorldNews> newsOf(const StoreAnswer &answer) const;
     void tellOthers(const std::shared_ptr<WorldNews> &news, GatewayContext &context);
+    /// Passes another member's news on to the members behind this one.
+    void relay(const WorldNews &news, GatewayContext &context);
+    std::vector<std::string> relayReceivers(const InstanceId &origin) const;
     void takeFullNews(const WorldNews &news, GatewayContext &context);
     void answerWish(const WorldNewsReceived &event, GatewayContext &context);
     /// Asks a member or a seed while the store can't be reached.
@@ -113,6 +116,9 @@
     Instant graceUntil {};
     Instant heardAt {};
     Instant comparedAt {};
+    /// Up to which revision news were passed on, and when.
+    std::uint64_t relayedTo = 0;
+    Instant relayedAt {};
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/world_sync_members.cpp
+++ b/logic/gateway/world_sync_members.cpp
@@ -1,5 +1,6 @@
 // What WorldSync tells the other members and learns from them.
 
+#include "logic/gateway/relay_tree.h"
 #include "logic/gateway/world_sync.h"
 
 #include <algorithm>
@@ -18,6 +19,9 @@
 /// Between two readings because of beliefs that differ.
 constexpr Duration compareInterval = std::chrono::seconds(5);
 constexpr Duration wishInterval = std::chrono::milliseconds(500);
+/// News without a change are passed on again after this long: they tell that somebody asks. Less
+/// than the pause between two questions at the store.
+constexpr Duration relayPause = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -64,21 +68,52 @@
 
 void WorldSync::tellOthers(const std::shared_ptr<WorldNews> &news, GatewayContext &context)
 {
-    TellNews effect;
-    for (const auto &[id, member] : this->memberTable) {
-        if (member.peerAddress != this->ownAddress) {
-            effect.receivers.push_back(member.peerAddress);
-        }
-    }
+    TellNews effect {this->relayReceivers(this->self), news};
     if (effect.receivers.empty() || news->to < news->from) {
         return;
     }
+    news->origin = this->self;
     news->grace = std::max<Duration>(this->graceUntil - context.now, Duration(0));
     news->digest = this->digest();
-    effect.news = news;
     context.emit(std::move(effect));
 }
 
+std::vector<std::string> WorldSync::relayReceivers(const InstanceId &origin) const
+{
+    std::vector<std::string> members;
+    for (const auto &[id, member] : this->memberTable) {
+        members.push_back(member.peerAddress);
+    }
+    const auto placeOf = [this](const std::string &id) {
+        return static_cast<std::size_t>(
+                std::distance(this->memberTable.begin(), this->memberTable.lower_bound(id)));
+    };
+    std::vector<std::string> receivers;
+    for (const std::size_t place :
+         relayChildren(placeOf(origin.value), placeOf(this->self.value), members.size())) {
+        if (members[place] != this->ownAddress) {
+            receivers.push_back(members[place]);
+        }
+    }
+    return receivers;
+}
+
+void WorldSync::relay(const WorldNews &news, GatewayContext &context)
+{
+    // While views differ, news may come round again.
+    const bool known = news.to < this->relayedTo
+            || (news.to == this->relayedTo && context.now - this->relayedAt < relayPause);
+    if (news.origin.value.empty() || news.origin == this->self || known) {
+        return;
+    }
+    this->relayedTo = news.to;
+    this->relayedAt = context.now;
+    TellNews effect {this->relayReceivers(news.origin), std::make_shared<const WorldNews>(news)};
+    if (!effect.receivers.empty()) {
+        context.emit(std::move(effect));
+    }
+}
+
 void WorldSync::onNews(const WorldNewsReceived &event, GatewayContext &context)
 {
     const WorldNews &news = event.news;
@@ -90,6 +125,7 @@
         this->takeFullNews(news, context);
         return;
     }
+    this->relay(news, context);
     if (this->reading || news.from > this->revision || news.to < this->revision) {
         // Something in between was missed, or the sender knows less.
         return;
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -385,3 +385,26 @@
     CHECK(fresh.status(now).targets == 1);
     CHECK(fresh.status(now).configVersion == 5);
 }
+
+TEST_CASE("a member passes news on to the members behind it, once")
+{
+    World world = oneTarget();
+    std::vector<WorldChange> members {memberChange("0", "127.0.0.1:7100"),
+                                      memberChange("a", "127.0.0.1:7000")};
+    for (int i = 0; i < 12; ++i) {
+        members.push_back(memberChange("b" + std::to_string(10 + i),
+                                       "127.0.0.1:72" + std::to_string(10 + i)));
+    }
+    world.tell(members);
+    world.told.clear();
+    WorldNewsReceived news = newsOf(world.revision, world.revision + 1, {World::removal("t")});
+    news.news.origin = InstanceId("0");
+    world.apply(news);
+    REQUIRE(world.told.size() == 1);
+    // The origin tells eight members itself; the first of them, this one, tells the other five.
+    CHECK(world.told[0].receivers.size() == 5);
+    CHECK(world.told[0].news->origin == InstanceId("0"));
+    CHECK(world.told[0].news->changes.size() == 1);
+    world.apply(news);
+    CHECK(world.told.size() == 1);
+}
