--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -137,14 +137,16 @@
         reload();
     }
     this->noticePause(now);
-    if (now >= this->gateway.nextTimer()) {
+    // What came meanwhile goes before the timers: after a slow turn a reply may lie there unread.
+    this->loop.poll(this->waitTime(now));
+    this->applyPending();
+    const Instant read = monotonicNow();
+    if (read >= this->gateway.nextTimer()) {
         this->pending.push_back(TimerDue {});
     }
-    this->checkTimes(now);
-    this->applyPending();
-    this->logLines.flush(now, wallNow());
-    this->loop.poll(this->waitTime(monotonicNow()));
+    this->checkTimes(read);
     this->applyPending();
+    this->logLines.flush(read, wallNow());
 }
 
 void GatewayNode::noticePause(Instant now)
