Lend retry budget between members

Cause: a node of a large fleet has about four extra arrivals a window and group. Change: an instance without budget asks one member, then one more, and waits 25 ms for the loan. What is lent counts as spent by the lender until a window after its last use, so the fleet's sum stays what it is (property test). The log line of a request tells the attempts that its route allows.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/os/clock.h"
 #include "core/os/process_signals.h"
+#include "drivers/edge/peer_loans.h"
 #include "drivers/edge/peer_news.h"
 #include "drivers/log_writer.h"
 #include "platform/message_codec.h"
@@ -66,6 +67,12 @@
             if (auto news = readNews(*received->message)) {
                 this->pending.push_back(std::move(*news));
             }
+            if (auto ask = readAsk(*received->message)) {
+                this->pending.push_back(std::move(*ask));
+            }
+            if (auto loan = readLoan(*received->message)) {
+                this->pending.push_back(std::move(*loan));
+            }
         }
     }
 }
@@ -337,6 +344,18 @@
     }
 }
 
+void GatewayNode::execute(AskBudget &effect)
+{
+    this->peers.send(effect.receiver,
+                     writeAsk(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
+void GatewayNode::execute(LendBudget &effect)
+{
+    this->peers.send(effect.receiver,
+                     writeLoan(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
 void GatewayNode::execute(WriteLog &effect)
 {
     this->log(effect);
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -71,6 +71,8 @@
     void execute(CallStore &effect);
     void execute(DropIdleConnections &effect);
     void execute(TellNews &effect);
+    void execute(AskBudget &effect);
+    void execute(LendBudget &effect);
     void execute(WriteLog &effect);
 
     GatewaySettings settings;
--- /dev/null
+++ b/drivers/edge/peer_loans.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "logic/gateway/gateway_effects.h"
+#include "logic/gateway/gateway_events.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lagoondeck {
+
+namespace proto {
+class PeerMessage;
+}
+
+/// The peer messages that ask for and lend a part of the retry budgets.
+std::shared_ptr<const proto::PeerMessage> writeAsk(const AskBudget &ask, const std::string &sender,
+                                                   const std::string &senderAddress);
+std::shared_ptr<const proto::PeerMessage>
+writeLoan(const LendBudget &loan, const std::string &sender, const std::string &senderAddress);
+
+/// Empty when the message asks for nothing.
+std::optional<BudgetAsked> readAsk(const proto::PeerMessage &message);
+/// Empty when the message lends nothing.
+std::optional<BudgetLent> readLoan(const proto::PeerMessage &message);
+
+} // namespace lagoondeck
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -35,6 +35,9 @@
     /// Attempts whose arrival counts for the group's budget.
     std::uint32_t arrived = 0;
     std::uint32_t unsent = 0;
+    /// Until then the part waits for other members to lend it an extra arrival; Instant::min()
+    /// while it has not asked.
+    Instant loanUntil = Instant::min();
     /// When a second attempt is considered; Instant::max() for never.
     Instant hedgeAt = Instant::max();
     std::shared_ptr<const ForwardedReply> reply;
--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -46,6 +46,7 @@
         fields.push_back(numberField("partsNeeded", static_cast<std::int64_t>(end.partsNeeded)));
         fields.push_back(
                 numberField("partsAnswered", static_cast<std::int64_t>(end.partsAnswered)));
+        fields.push_back(numberField("attemptsAllowed", exchange->route->attempts));
         fields.push_back({"steps", exchange->trace.text()});
     } else {
         fields.push_back({"host", request.host});
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -36,6 +36,8 @@
 constexpr Duration retryAfterRefusal = std::chrono::milliseconds(20);
 /// Connections that can't be made cost a request no attempt, up to this many.
 constexpr std::uint32_t mostUnsent = 4;
+/// A member's answer takes the way there and back, and a turn of a busy loop there.
+constexpr Duration loanWait = std::chrono::milliseconds(25);
 /// Second attempts leave this part of the budget to retries after failures.
 constexpr double hedgeReservedPart = 0.1;
 
@@ -183,13 +185,51 @@
     }
     if (!part.group->budget.take(this->allowance, this->book.instanceCount(), hedgeReservedPart,
                                  context.now)) {
-        ++this->count.withoutBudget;
-        exchange.note(TraceKind::NoBudget, index, {}, context.now);
+        this->seekBudget(exchange, index, context);
         return;
     }
     this->sendTo(exchange, index, *choice.target, TraceKind::Hedge, context);
 }
 
+void Forwarder::seekBudget(Exchange &exchange, std::size_t index, GatewayContext &context)
+{
+    Part &part = exchange.parts[index];
+    if (part.loanUntil == Instant::min()) {
+        ++this->count.withoutBudget;
+        exchange.note(TraceKind::NoBudget, index, {}, context.now);
+        part.loanUntil = context.now + loanWait;
+        this->budgetLoans.want(part.group->name);
+        this->withoutBudget[part.group->name].push_back({exchange.id, index});
+    }
+    if (part.out.empty()) {
+        part.phase = context.now < part.loanUntil ? PartPhase::Waiting : PartPhase::Given;
+    }
+}
+
+void Forwarder::onLent(const BudgetLent &event, GatewayContext &context)
+{
+    for (const auto &[name, count] : event.lent) {
+        TargetGroup &group = this->book.group(name);
+        group.budget.borrow(count, context.now + event.validFor);
+        std::deque<WaitingPart> &queue = this->withoutBudget[name];
+        for (std::uint32_t i = 0; i < count && !queue.empty();) {
+            const WaitingPart next = queue.front();
+            queue.pop_front();
+            Exchange *exchange = this->find(next.exchange);
+            if (exchange == nullptr || !exchange->parts[next.part].open()) {
+                continue;
+            }
+            ++i;
+            if (exchange->parts[next.part].out.empty()) {
+                this->retry(*exchange, next.part, context);
+            } else {
+                this->hedge(*exchange, next.part, context);
+            }
+            this->review(next.exchange, context);
+        }
+    }
+}
+
 void Forwarder::retry(Exchange &exchange, std::size_t index, GatewayContext &context)
 {
     Part &part = exchange.parts[index];
@@ -208,9 +248,7 @@
     if (extra
         && !part.group->budget.take(this->allowance, this->book.instanceCount(), 0.0,
                                     context.now)) {
-        ++this->count.withoutBudget;
-        exchange.note(TraceKind::NoBudget, index, {}, context.now);
-        part.phase = PartPhase::Given;
+        this->seekBudget(exchange, index, context);
         return;
     }
     this->dispatch(exchange, index, TraceKind::Retry, context);
@@ -303,7 +341,8 @@
     while (!queue.empty()) {
         const WaitingPart next = queue.front();
         Exchange *exchange = this->find(next.exchange);
-        if (exchange == nullptr || exchange->parts[next.part].phase != PartPhase::Waiting) {
+        if (exchange == nullptr || exchange->parts[next.part].phase != PartPhase::Waiting
+            || exchange->parts[next.part].loanUntil > context.now) {
             queue.pop_front();
             continue;
         }
@@ -451,6 +490,13 @@
                 this->hedge(exchange, i, context);
             }
             next = std::min(next, part.hedgeAt);
+        } else if (part.phase == PartPhase::Waiting && part.loanUntil != Instant::min()) {
+            if (context.now >= part.loanUntil) {
+                part.phase = PartPhase::Given;
+                gaveUp = true;
+            } else {
+                next = std::min(next, part.loanUntil);
+            }
         } else if (part.phase == PartPhase::Waiting) {
             if (context.now >= waitUntil && !(gathers && exchange.mayHaveRun())) {
                 part.phase = PartPhase::Given;
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "logic/gateway/budget_loans.h"
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/route_table.h"
@@ -40,12 +41,15 @@
     void onEnded(const AttemptEnded &event, GatewayContext &context);
     void onCallerLeft(ExchangeId id, GatewayContext &context);
     void onTimer(GatewayContext &context);
+    /// Sends what waited for extra arrivals that a member lends.
+    void onLent(const BudgetLent &event, GatewayContext &context);
 
     /// When onTimer() is to be called next.
     Instant nextTimer() const;
     std::size_t exchangesInFlight() const { return this->exchanges.size(); }
     std::size_t attemptsInFlight() const { return this->attempts.size(); }
     const ForwarderCounts &counts() const { return this->count; }
+    BudgetLoans &loans() { return this->budgetLoans; }
 
 private:
     enum class TimerKind { Exchange, Attempt };
@@ -77,6 +81,8 @@
     void retry(Exchange &exchange, std::size_t index, GatewayContext &context);
     void pump(TargetGroup &group, GatewayContext &context);
     Instant hedgeTime(const Exchange &exchange, Instant now) const;
+    /// Asks other members for an extra arrival. The part waits for it a little; only once.
+    void seekBudget(Exchange &exchange, std::size_t index, GatewayContext &context);
     /// Whether the other parts suffice without this one.
     bool spareable(const Exchange &exchange, const Part &part) const;
 
@@ -101,6 +107,9 @@
     std::unordered_map<ExchangeId, Exchange> exchanges;
     std::unordered_map<AttemptId, GatewayAttempt> attempts;
     std::unordered_map<GroupName, std::deque<WaitingPart>> waiting;
+    /// Parts that wait for a loan.
+    std::unordered_map<GroupName, std::deque<WaitingPart>> withoutBudget;
+    BudgetLoans budgetLoans;
     std::priority_queue<Due, std::vector<Due>, std::greater<>> timers;
 };
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -25,6 +25,7 @@
     std::vector<GatewayEffect> effects;
     GatewayContext context {now, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event);
+    this->askForBudget(context);
     return effects;
 }
 
@@ -88,6 +89,32 @@
     this->countInstances(context.now);
 }
 
+void Gateway::on(const BudgetAsked &event, GatewayContext &context)
+{
+    LendBudget effect {event.sender, {event.number, {}, RetryBudget::loanTime}};
+    for (const auto &[group, count] : event.wanted) {
+        const std::uint32_t lent = this->book.group(group).budget.lend(
+                this->settings.retries, this->book.instanceCount(), count, context.now);
+        if (lent > 0) {
+            effect.loan.lent.emplace(group, lent);
+        }
+    }
+    context.emit(std::move(effect));
+}
+
+void Gateway::on(const BudgetLent &event, GatewayContext &context)
+{
+    this->forwarder.onLent(event, context);
+    this->forwarder.loans().onLent(event, this->sync.otherMembers(), context);
+}
+
+void Gateway::askForBudget(GatewayContext &context)
+{
+    if (this->forwarder.loans().wants()) {
+        this->forwarder.loans().flush(this->sync.otherMembers(), context);
+    }
+}
+
 void Gateway::countInstances(Instant now)
 {
     std::size_t instances = std::max<std::size_t>(this->sync.members().size(), 1);
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -60,8 +60,25 @@
     std::shared_ptr<const WorldNews> news;
 };
 
+/// Ask a member for a part of its retry budgets; it may never answer.
+struct AskBudget
+{
+    /// Peer address.
+    std::string receiver;
+    std::uint64_t number = 0;
+    GroupExtras wanted;
+};
+
+/// Lend a member a part of this instance's retry budgets, which count as spent here.
+struct LendBudget
+{
+    /// Peer address.
+    std::string receiver;
+    BudgetLent loan;
+};
+
 using GatewayEffect = std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore,
-                                   DropIdleConnections, TellNews, WriteLog>;
+                                   DropIdleConnections, TellNews, AskBudget, LendBudget, WriteLog>;
 
 /// What a part of the gateway works with while one event is applied.
 struct GatewayContext
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -6,6 +6,7 @@
 #include "logic/gateway/store_call.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -85,6 +86,26 @@
     WorldNews news;
 };
 
+/// Extra arrivals at groups, by their names.
+using GroupExtras = std::map<GroupName, std::uint32_t>;
+
+/// A member asks for a part of this instance's retry budgets.
+struct BudgetAsked
+{
+    /// Where the member takes peer messages.
+    std::string sender;
+    std::uint64_t number = 0;
+    GroupExtras wanted;
+};
+
+/// A member lends a part of its retry budgets; the answer to an AskBudget.
+struct BudgetLent
+{
+    std::uint64_t number = 0;
+    GroupExtras lent;
+    Duration validFor {};
+};
+
 /// The instant came that the reducer asked to be woken at.
 struct TimerDue
 {
@@ -107,7 +128,7 @@
 };
 
 using GatewayEvent = std::variant<GatewayStarted, RequestArrived, CallerLeft, AttemptReplied,
-                                  AttemptEnded, StoreAnswered, WorldNewsReceived, TimerDue,
-                                  ProcessPaused, GatewayStopRequested>;
+                                  AttemptEnded, StoreAnswered, WorldNewsReceived, BudgetAsked,
+                                  BudgetLent, TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/retry_budget.cpp
+++ b/logic/gateway/retry_budget.cpp
@@ -14,6 +14,8 @@
 /// The part of the ratio that is used; the rest covers spans that reach over the window's edge and
 /// requests whose callers gave up before they were counted elsewhere.
 constexpr double usedRatio = 0.92;
+/// The part of what a window earns that an instance keeps for itself when others ask.
+constexpr double keptFromLoans = 0.3;
 
 } // namespace
 
@@ -32,6 +34,14 @@
         this->extras -= this->spans.front().extras;
         this->spans.pop_front();
     }
+    while (!this->lent.empty() && this->lent.front().until <= now) {
+        this->lentCount -= this->lent.front().count;
+        this->lent.pop_front();
+    }
+    while (!this->borrowed.empty()
+           && (this->borrowed.front().until <= now || this->borrowed.front().count == 0)) {
+        this->borrowed.pop_front();
+    }
 }
 
 void RetryBudget::onRequest(Instant now)
@@ -54,12 +64,31 @@
 {
     this->forget(allowance.window, now);
     const double earned = this->earned(allowance, instances, now);
-    if (earned * (1.0 - reservedPart) - this->extras < 1.0) {
-        return false;
+    if (earned * (1.0 - reservedPart) - this->extras - this->lentCount >= 1.0) {
+        ++this->current(now).extras;
+        ++this->extras;
+        return true;
+    }
+    if (!this->borrowed.empty()) {
+        --this->borrowed.front().count;
+        return true;
+    }
+    return false;
+}
+
+std::uint32_t RetryBudget::lend(const RetryAllowance &allowance, std::size_t instances,
+                                std::uint32_t wanted, Instant now)
+{
+    this->forget(allowance.window, now);
+    const double left = this->earned(allowance, instances, now) * (1.0 - keptFromLoans)
+            - this->extras - this->lentCount;
+    const std::uint32_t count = left < 1.0 ? 0 : std::min(wanted, static_cast<std::uint32_t>(left));
+    if (count > 0) {
+        // The borrower may use it last at the end of the loan, and it counts for a window then.
+        this->lent.push_back({count, now + loanTime + allowance.window + spanLength});
+        this->lentCount += count;
     }
-    ++this->current(now).extras;
-    ++this->extras;
-    return true;
+    return count;
 }
 
 } // namespace lagoondeck
--- a/logic/gateway/world_sync.h
+++ b/logic/gateway/world_sync.h
@@ -23,9 +23,10 @@
 /// between two questions: each costs the platform, and the targets' heartbeats alone would make
 /// one a few milliseconds long.
 ///
-/// Whoever asked tells the other members what was new, in a tree of members that pass it on, and who
-/// has heard news asks later; so mostly the first member in the order of names asks for all, and the
-/// next one takes over when it falls silent. A member behind one that passes nothing on asks itself. An instance that can't reach the store asks a member or a seed for all there is.
+/// Whoever asked tells the other members what was new, in a tree of members that pass it on, and
+/// who has heard news asks later; so mostly the first member in the order of names asks for all,
+/// and the next one takes over when it falls silent. A member behind one that passes nothing on
+/// asks itself. An instance that can't reach the store asks a member or a seed for all there is.
 class WorldSync
 {
 public:
@@ -44,6 +45,8 @@
     /// The configuration and the targets are known.
     bool ready() const { return this->table != nullptr && this->targetsKnown; }
     const std::map<std::string, MemberRecord> &members() const { return this->memberTable; }
+    /// The peer addresses of the members but this one.
+    std::vector<std::string> otherMembers() const;
     const StoreHealth &store() const { return this->health; }
     /// When the store, or a member that had asked it, was heard last.
     Instant freshAt() const { return this->heardAt; }
--- a/logic/gateway/world_sync_members.cpp
+++ b/logic/gateway/world_sync_members.cpp
@@ -78,6 +78,17 @@
     context.emit(std::move(effect));
 }
 
+std::vector<std::string> WorldSync::otherMembers() const
+{
+    std::vector<std::string> others;
+    for (const auto &[id, member] : this->memberTable) {
+        if (member.peerAddress != this->ownAddress) {
+            others.push_back(member.peerAddress);
+        }
+    }
+    return others;
+}
+
 std::vector<std::string> WorldSync::relayReceivers(const InstanceId &origin) const
 {
     std::vector<std::string> members;
@@ -211,12 +222,8 @@
 void WorldSync::wish(GatewayContext &context)
 {
     this->wishAt = context.now + wishInterval;
-    std::vector<std::string> known = this->seeds;
-    for (const auto &[id, member] : this->memberTable) {
-        if (member.peerAddress != this->ownAddress) {
-            known.push_back(member.peerAddress);
-        }
-    }
+    std::vector<std::string> known = this->otherMembers();
+    known.insert(known.end(), this->seeds.begin(), this->seeds.end());
     if (known.empty()) {
         return;
     }
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -53,6 +53,10 @@
                 this->told.push_back(*tell);
             } else if (auto *call = std::get_if<CallStore>(&effect)) {
                 this->calls.push_back(*call);
+            } else if (auto *ask = std::get_if<AskBudget>(&effect)) {
+                this->asked.push_back(*ask);
+            } else if (auto *lend = std::get_if<LendBudget>(&effect)) {
+                this->lent.push_back(*lend);
             }
         }
     }
@@ -131,6 +135,16 @@
         return change;
     }
 
+    static WorldChange memberChange(const std::string &id, const std::string &address)
+    {
+        WorldChange change;
+        change.part = WorldPart::Member;
+        change.id = id;
+        change.key = "members/" + id;
+        change.content = MemberRecord {InstanceId(id), address};
+        return change;
+    }
+
     static WorldChange removal(const std::string &target)
     {
         WorldChange change;
@@ -184,6 +198,8 @@
     std::map<ExchangeId, std::vector<CallerReply>> answers;
     std::vector<CallStore> calls;
     std::vector<TellNews> told;
+    std::vector<AskBudget> asked;
+    std::vector<LendBudget> lent;
     std::vector<WriteLog> logs;
     std::uint64_t revision = 0;
     std::uint64_t lastExchange = 0;
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -278,3 +278,60 @@
         CHECK(world.answerOf(second)->status == 503);
     }
 }
+
+namespace {
+
+/// No allowance of its own, and one other member.
+World poorWorld()
+{
+    World world(configOf({plainRoute("/p/", "g", true)}), {target("t0", "g"), target("t1", "g")},
+                {0.0, 0.0, std::chrono::seconds(10)});
+    world.tell({World::memberChange("a", "127.0.0.1:7000"),
+                World::memberChange("b", "127.0.0.1:7001")});
+    return world;
+}
+
+} // namespace
+
+TEST_CASE("a retry without a budget of its own is sent once a member lends for it")
+{
+    World world = poorWorld();
+    const ExchangeId id = world.ask("/p/x");
+    world.apply(AttemptEnded {world.started[0].attempt, AttemptEndKind::Lost});
+    REQUIRE(world.asked.size() == 1);
+    CHECK(world.asked[0].receiver == "127.0.0.1:7001");
+    CHECK(world.asked[0].wanted == GroupExtras {{GroupName("g"), 1}});
+    CHECK(world.started.size() == 1);
+    CHECK_FALSE(world.answerOf(id));
+    SECTION("lent")
+    {
+        world.apply(
+                BudgetLent {world.asked[0].number, {{GroupName("g"), 1}}, RetryBudget::loanTime});
+        REQUIRE(world.started.size() == 2);
+        world.reply(world.started[1].attempt, ReplyClass::Success);
+        CHECK(world.answerOf(id)->status == 200);
+    }
+    SECTION("refused by two members")
+    {
+        world.apply(BudgetLent {world.asked[0].number, {}, RetryBudget::loanTime});
+        REQUIRE(world.asked.size() == 2);
+        world.apply(BudgetLent {world.asked[1].number, {}, RetryBudget::loanTime});
+        CHECK(world.asked.size() == 2);
+    }
+    SECTION("never answered")
+    {
+        world.pass(milliseconds(50));
+        CHECK(world.answerOf(id)->status == 502);
+    }
+}
+
+TEST_CASE("an instance lends what it does not need")
+{
+    World world(configOf({plainRoute("/p/", "g", true)}), {target("t0", "g")},
+                {0.0, 20.0, std::chrono::seconds(10)});
+    world.apply(BudgetAsked {"127.0.0.1:7009", 5, {{GroupName("g"), 1}}});
+    REQUIRE(world.lent.size() == 1);
+    CHECK(world.lent[0].receiver == "127.0.0.1:7009");
+    CHECK(world.lent[0].loan.number == 5);
+    CHECK(world.lent[0].loan.lent == GroupExtras {{GroupName("g"), 1}});
+}
--- a/tests/logic/gateway/test_retry_budget.cpp
+++ b/tests/logic/gateway/test_retry_budget.cpp
@@ -127,3 +127,68 @@
     CHECK(budget.take(grown, instances, 0.1, now));
     CHECK(budget.take(grown, instances, 0.1, now));
 }
+
+TEST_CASE("what is lent is spent until a window after its last use")
+{
+    const RetryAllowance small {0.0, 20.0, std::chrono::seconds(10)};
+    RetryBudget lender;
+    RetryBudget borrower;
+    Instant now {std::chrono::seconds(1)};
+    while (borrower.take(small, 4, 0.0, now)) { }
+    const std::uint32_t lent = lender.lend(small, 4, 1, now);
+    REQUIRE(lent == 1);
+    borrower.borrow(lent, now + RetryBudget::loanTime);
+    SECTION("the borrower uses it once")
+    {
+        CHECK(borrower.take(small, 4, 0.0, now));
+        CHECK_FALSE(borrower.take(small, 4, 0.0, now));
+    }
+    SECTION("it can't be used later")
+    {
+        CHECK_FALSE(borrower.take(small, 4, 0.0, now + RetryBudget::loanTime));
+    }
+    SECTION("the lender has it back a window after that")
+    {
+        std::uint32_t kept = 0;
+        const Instant lastCounted = now + RetryBudget::loanTime + small.window;
+        while (lender.take(small, 4, 0.0, lastCounted)) {
+            ++kept;
+        }
+        RetryBudget whole;
+        std::uint32_t all = 0;
+        while (whole.take(small, 4, 0.0, now)) {
+            ++all;
+        }
+        CHECK(kept + lent == all);
+        CHECK(lender.take(small, 4, 0.0, lastCounted + std::chrono::milliseconds(300)));
+    }
+}
+
+TEST_CASE("a greedy fleet that lends and borrows stays within the budget in every window")
+{
+    rc::prop("whoever lends to whom", [] {
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        constexpr std::size_t instances = 6;
+        std::vector<RetryBudget> budgets(instances);
+        std::vector<Arrival> arrivals;
+        std::uniform_int_distribution<std::size_t> any(0, instances - 1);
+        for (int ms = 0; ms < 40000; ms += 20) {
+            const Instant now {std::chrono::milliseconds(ms)};
+            const std::size_t busy = static_cast<std::size_t>(ms / 4000) % instances;
+            if (std::bernoulli_distribution(0.8)(random)) {
+                const std::size_t at = any(random);
+                budgets[at].onRequest(now);
+                arrivals.push_back({now, false});
+            }
+            const std::size_t lender = any(random);
+            if (lender != busy) {
+                budgets[busy].borrow(budgets[lender].lend(allowance, instances, 2, now),
+                                     now + RetryBudget::loanTime);
+            }
+            while (budgets[busy].take(allowance, instances, 0.0, now)) {
+                arrivals.push_back({now, true});
+            }
+        }
+        checkWindows(arrivals);
+    });
+}
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -201,16 +201,6 @@
 
 namespace {
 
-WorldChange memberChange(const std::string &id, const std::string &address)
-{
-    WorldChange change;
-    change.part = WorldPart::Member;
-    change.key = "members/" + id;
-    change.id = id;
-    change.content = MemberRecord {InstanceId(id), address};
-    return change;
-}
-
 WorldNewsReceived newsOf(std::uint64_t from, std::uint64_t to, std::vector<WorldChange> changes)
 {
     for (WorldChange &change : changes) {
@@ -224,7 +214,8 @@
 TEST_CASE("what the store told is told to the other members, without heartbeats")
 {
     World world = oneTarget();
-    world.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    world.tell({World::memberChange("a", "127.0.0.1:7000"),
+                World::memberChange("b", "127.0.0.1:7001")});
     world.told.clear();
     TargetRecord beat = target("t", "g");
     beat.warmupLeft = milliseconds(5);
@@ -239,7 +230,8 @@
 TEST_CASE("an entry that comes back while it is still kept is told to the other members")
 {
     World world = oneTarget();
-    world.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    world.tell({World::memberChange("a", "127.0.0.1:7000"),
+                World::memberChange("b", "127.0.0.1:7001")});
     storeAway(world, std::chrono::seconds(5));
     world.tell({World::removal("t")});
     REQUIRE(served(world));
@@ -285,12 +277,14 @@
 TEST_CASE("members that believe the same leave it at that")
 {
     World first = oneTarget();
-    first.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    first.tell({World::memberChange("a", "127.0.0.1:7000"),
+                World::memberChange("b", "127.0.0.1:7001")});
     first.told.clear();
     first.tell({});
     REQUIRE(first.told.size() == 1);
     World second = oneTarget();
-    second.tell({memberChange("a", "127.0.0.1:7000"), memberChange("b", "127.0.0.1:7001")});
+    second.tell({World::memberChange("a", "127.0.0.1:7000"),
+                 World::memberChange("b", "127.0.0.1:7001")});
     second.tell({});
     second.calls.clear();
     second.apply(WorldNewsReceived {"127.0.0.1:7001", *first.told[0].news});
@@ -313,7 +307,8 @@
 TEST_CASE("a later member lets the first one ask, and takes over when it is silent")
 {
     World world = oneTarget();
-    world.tell({memberChange("0", "127.0.0.1:7009"), memberChange("a", "127.0.0.1:7000")});
+    world.tell({World::memberChange("0", "127.0.0.1:7009"),
+                World::memberChange("a", "127.0.0.1:7000")});
     world.calls.clear();
     for (int i = 0; i < 10; ++i) {
         world.pass(milliseconds(1500));
@@ -389,11 +384,11 @@
 TEST_CASE("a member passes news on to the members behind it, once")
 {
     World world = oneTarget();
-    std::vector<WorldChange> members {memberChange("0", "127.0.0.1:7100"),
-                                      memberChange("a", "127.0.0.1:7000")};
+    std::vector<WorldChange> members {World::memberChange("0", "127.0.0.1:7100"),
+                                      World::memberChange("a", "127.0.0.1:7000")};
     for (int i = 0; i < 12; ++i) {
-        members.push_back(memberChange("b" + std::to_string(10 + i),
-                                       "127.0.0.1:72" + std::to_string(10 + i)));
+        members.push_back(World::memberChange("b" + std::to_string(10 + i),
+                                              "127.0.0.1:72" + std::to_string(10 + i)));
     }
     world.tell(members);
     world.told.clear();
