Learn from attempts that were given up for being slow

Change: after three median latencies it counts as slow. The test fails without the change (17 of 20 requests went to the slow target again).

--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -47,6 +47,7 @@
         fields.push_back(
                 numberField("partsAnswered", static_cast<std::int64_t>(end.partsAnswered)));
         fields.push_back(numberField("attemptsAllowed", exchange->route->attempts));
+        fields.push_back({"repeatable", exchange->route->idempotent ? "yes" : "no"});
         fields.push_back({"steps", exchange->trace.text()});
     } else {
         fields.push_back({"host", request.host});
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -29,6 +29,8 @@
 /// An attempt that lost the race is worth its connection for so many median latencies; a target
 /// that takes longer is in trouble, and a closed connection frees its slot.
 constexpr int keepLostMedians = 2;
+/// A target that takes so many median latencies is slow, not only unlucky.
+constexpr int slowMedians = 3;
 /// An attempt without a reply is given up this long after its time has passed.
 constexpr Duration closeAfterDeadline = std::chrono::milliseconds(100);
 /// A target is never told less than this: it would refuse at once.
@@ -523,10 +525,14 @@
         return;
     }
     // The target had all the time that the request had: it is as good as dead.
-    const bool silent = !found->second.exchange.has_value()
-            && context.now - found->second.sentAt > found->second.latency->veryLate() * 2;
-    const GatewayAttempt attempt =
-            this->takeAttempt(id, silent ? TargetOutcome::Silent : TargetOutcome::Neutral, context);
+    const GatewayAttempt &late = found->second;
+    const Duration elapsed = context.now - late.sentAt;
+    const bool silent = !late.exchange.has_value() && elapsed > late.latency->veryLate() * 2;
+    const bool slow = elapsed > late.latency->median() * slowMedians;
+    const TargetOutcome outcome = silent ? TargetOutcome::Silent
+            : slow                       ? TargetOutcome::Slow
+                                         : TargetOutcome::Neutral;
+    const GatewayAttempt attempt = this->takeAttempt(id, outcome, context);
     context.emit(CloseAttempt {id});
     this->pump(*attempt.group, context);
 }
--- a/logic/gateway/target_book.cpp
+++ b/logic/gateway/target_book.cpp
@@ -219,14 +219,19 @@
     target.slowness = 1.0 + (target.slowness - 1.0) * weight;
     target.failureRate *= weight;
     target.learnedAt = now;
-    const bool failed = outcome != TargetOutcome::Answered && outcome != TargetOutcome::Shed;
+    const bool failed = outcome != TargetOutcome::Answered && outcome != TargetOutcome::Slow
+            && outcome != TargetOutcome::Shed;
     target.failureRate += learningRate
             * ((failed || outcome == TargetOutcome::Shed ? 1.0 : 0.0) - target.failureRate);
-    if (outcome == TargetOutcome::Answered) {
+    if (outcome == TargetOutcome::Answered || outcome == TargetOutcome::Slow) {
         const double median = std::max(toFractionalMilliseconds(model.median()), 0.1);
         const double ratio =
                 std::min(toFractionalMilliseconds(now - sentAt) / median, mostSlowness);
         target.slowness += learningRate * (ratio - target.slowness);
+    }
+    if (outcome == TargetOutcome::Slow) {
+        // Whether it would have answered is not known.
+    } else if (outcome == TargetOutcome::Answered) {
         target.failuresInRow = 0;
         target.avoidUntil = now;
     } else if (outcome == TargetOutcome::Shed) {
--- a/logic/gateway/target_book.h
+++ b/logic/gateway/target_book.h
@@ -33,6 +33,7 @@
     Lost,        ///< The connection broke.
     Unreachable, ///< No connection could be made.
     Silent,      ///< It did not answer in time.
+    Slow,        ///< Given up by us when it had already taken several times the usual latency.
     Neutral,     ///< Given up by us; nothing is learned.
 };
 
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -335,3 +335,32 @@
     CHECK(world.lent[0].loan.number == 5);
     CHECK(world.lent[0].loan.lent == GroupExtras {{GroupName("g"), 1}});
 }
+
+TEST_CASE("a target that is given up for being slow is known to be slow")
+{
+    World world = plainWorld(true, 2);
+    // One in ten replies is late, so that being late once tells nothing yet.
+    for (int i = 0; i < 128; ++i) {
+        world.ask("/p/x");
+        const AttemptId attempt = world.started.back().attempt;
+        world.pass(milliseconds(i % 10 == 9 ? 20 : 5));
+        world.reply(attempt, ReplyClass::Success);
+    }
+    world.pass(std::chrono::seconds(20));
+    world.ask("/p/x");
+    const StartAttempt slow = world.started.back();
+    world.pass(milliseconds(24));
+    REQUIRE(world.started.back().attempt != slow.attempt);
+    world.reply(world.started.back().attempt, ReplyClass::Success);
+    world.pass(milliseconds(12));
+    REQUIRE(world.closed.back() == slow.attempt);
+    int again = 0;
+    for (int i = 0; i < 20; ++i) {
+        world.ask("/p/x");
+        again += world.started.back().target == slow.target ? 1 : 0;
+        const AttemptId attempt = world.started.back().attempt;
+        world.pass(milliseconds(5));
+        world.reply(attempt, ReplyClass::Success);
+    }
+    CHECK(again == 0);
+}
