Refuse requests that crash targets, and tell the members

Change: a request whose targets all broke the connection, and that none answered, counts as a crash. The members hear of it over the tree of news.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -2,8 +2,8 @@
 
 #include "core/os/clock.h"
 #include "core/os/process_signals.h"
-#include "drivers/edge/peer_loans.h"
 #include "drivers/edge/peer_news.h"
+#include "drivers/edge/peer_words.h"
 #include "drivers/log_writer.h"
 #include "platform/message_codec.h"
 
@@ -73,6 +73,9 @@
             if (auto loan = readLoan(*received->message)) {
                 this->pending.push_back(std::move(*loan));
             }
+            if (auto crash = readCrash(*received->message)) {
+                this->pending.push_back(std::move(*crash));
+            }
         }
     }
 }
@@ -356,6 +359,14 @@
                      writeLoan(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
+void GatewayNode::execute(ReportCrash &effect)
+{
+    const auto message = writeCrash(effect, this->settings.id.value, this->settings.peerAddress);
+    for (const std::string &receiver : effect.receivers) {
+        this->peers.send(receiver, message);
+    }
+}
+
 void GatewayNode::execute(WriteLog &effect)
 {
     this->log(effect);
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -73,6 +73,7 @@
     void execute(TellNews &effect);
     void execute(AskBudget &effect);
     void execute(LendBudget &effect);
+    void execute(ReportCrash &effect);
     void execute(WriteLog &effect);
 
     GatewaySettings settings;
--- a/drivers/edge/peer_loans.cpp
+++ b/drivers/edge/peer_words.cpp
@@ -1,4 +1,4 @@
-#include "drivers/edge/peer_loans.h"
+#include "drivers/edge/peer_words.h"
 
 #include "logic/gateway/retry_budget.h"
 #include "proto/peer.pb.h"
@@ -12,6 +12,9 @@
 /// A loan is never used for longer, whatever the lender's message says.
 constexpr Duration longestLoan = RetryBudget::loanTime;
 
+/// One request loses no more targets than a route allows attempts; a word that tells more is cut.
+constexpr std::uint32_t mostCrashes = 8;
+
 template <typename Rows>
 GroupExtras readExtras(const Rows &rows)
 {
@@ -62,6 +65,18 @@
     return message;
 }
 
+std::shared_ptr<const proto::PeerMessage>
+writeCrash(const ReportCrash &report, const std::string &sender, const std::string &senderAddress)
+{
+    auto message = messageOf(sender, senderAddress);
+    proto::CrashWord &word = *message->mutable_crash();
+    word.set_fingerprint(report.sighting.fingerprint.value);
+    word.set_crashes(report.sighting.crashes);
+    word.set_origin(report.sighting.origin.value);
+    word.set_number(report.sighting.number);
+    return message;
+}
+
 std::optional<BudgetAsked> readAsk(const proto::PeerMessage &message)
 {
     if (!message.has_budget_ask()) {
@@ -81,4 +96,15 @@
                        std::clamp(valid, Duration(0), longestLoan)};
 }
 
+std::optional<CrashReported> readCrash(const proto::PeerMessage &message)
+{
+    if (!message.has_crash()) {
+        return std::nullopt;
+    }
+    const proto::CrashWord &word = message.crash();
+    return CrashReported {{Fingerprint(word.fingerprint()),
+                           std::min<std::uint32_t>(word.crashes(), mostCrashes),
+                           InstanceId(word.origin()), word.number()}};
+}
+
 } // namespace lagoondeck
--- a/drivers/edge/peer_loans.h
+++ b/drivers/edge/peer_words.h
@@ -13,15 +13,22 @@
 class PeerMessage;
 }
 
-/// The peer messages that ask for and lend a part of the retry budgets.
+// The peer messages of the forwarding: retry budgets that are asked for and lent, and requests that
+// may crash targets.
+
 std::shared_ptr<const proto::PeerMessage> writeAsk(const AskBudget &ask, const std::string &sender,
                                                    const std::string &senderAddress);
 std::shared_ptr<const proto::PeerMessage>
 writeLoan(const LendBudget &loan, const std::string &sender, const std::string &senderAddress);
 
+std::shared_ptr<const proto::PeerMessage>
+writeCrash(const ReportCrash &report, const std::string &sender, const std::string &senderAddress);
+
 /// Empty when the message asks for nothing.
 std::optional<BudgetAsked> readAsk(const proto::PeerMessage &message);
 /// Empty when the message lends nothing.
 std::optional<BudgetLent> readLoan(const proto::PeerMessage &message);
+/// Empty when the message tells of no crash.
+std::optional<CrashReported> readCrash(const proto::PeerMessage &message);
 
 } // namespace lagoondeck
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -35,6 +35,8 @@
     /// Attempts whose arrival counts for the group's budget.
     std::uint32_t arrived = 0;
     std::uint32_t unsent = 0;
+    /// Attempts whose connection broke while the target may have run them.
+    std::uint32_t lost = 0;
     /// Until then the part waits for other members to lend it an extra arrival; Instant::min()
     /// while it has not asked.
     Instant loanUntil = Instant::min();
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -30,6 +30,7 @@
     TargetsFailed, ///< Attempts came to nothing, and no further one was allowed.
     DeadlinePassed,
     CallerLeft,
+    Quarantined, ///< The request broke the connections of the targets that ran it before.
 };
 
 const char *toString(ExchangeOutcome outcome);
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -36,6 +36,8 @@
 /// A target is never told less than this: it would refuse at once.
 constexpr Duration shortestTimeLeft = std::chrono::milliseconds(1);
 constexpr Duration retryAfterRefusal = std::chrono::milliseconds(20);
+/// A request that crashes targets is told to come back no earlier.
+constexpr Duration longestRetryAfter = std::chrono::seconds(5);
 /// Connections that can't be made cost a request no attempt, up to this many.
 constexpr std::uint32_t mostUnsent = 4;
 /// A member's answer takes the way there and back, and a turn of a busy loop there.
@@ -64,6 +66,51 @@
     return *model;
 }
 
+Fingerprint fingerprintOf(const ForwardedRequest &request)
+{
+    return fingerprintOf(EntryName(request.method + " " + request.host + request.path),
+                         request.body);
+}
+
+void Forwarder::refuseQuarantined(ExchangeId id, const ForwardedRequest &request, Instant until,
+                                  GatewayContext &context)
+{
+    CallerReply reply;
+    reply.status = statusUnavailable;
+    reply.retryAfter = std::min<Duration>(until - context.now, longestRetryAfter);
+    reply.detail = "not run: the request broke the connections of the targets that ran it";
+    ExchangeEnd end {"", ExchangeOutcome::Refused, EndReason::Quarantined};
+    logEnd(request, end, nullptr, this->sampleOneIn, context);
+    context.emit(AnswerExchange {id, std::move(reply), std::move(end)});
+}
+
+void Forwarder::judgeCrashes(const Exchange &exchange, GatewayContext &context)
+{
+    const bool answered = std::ranges::any_of(exchange.parts, [](const Part &part) {
+        return part.reply != nullptr || part.failure != nullptr;
+    });
+    std::uint32_t crashes = 0;
+    for (const Part &part : exchange.parts) {
+        crashes = std::max(crashes, part.lost);
+    }
+    if (answered && !this->crashBook.empty()) {
+        this->crashBook.clear(fingerprintOf(*exchange.request));
+    } else if (!answered && crashes > 0) {
+        const CrashSighting sighting {
+                fingerprintOf(*exchange.request), crashes, {}, context.random()};
+        this->seenCrashes.push_back(sighting);
+        this->onCrash(sighting, context);
+    }
+}
+
+void Forwarder::onCrash(const CrashSighting &sighting, GatewayContext &context)
+{
+    if (this->crashBook.add(sighting.fingerprint, sighting.crashes, context.now)) {
+        context.log(LogEvent::RequestQuarantined,
+                    {{"fingerprint", std::to_string(sighting.fingerprint.value)}});
+    }
+}
+
 void Forwarder::start(ExchangeId id, std::shared_ptr<const ForwardedRequest> request,
                       const RouteTable &routes, Duration beliefAge, GatewayContext &context)
 {
@@ -77,6 +124,12 @@
         context.emit(AnswerExchange {id, std::move(reply), std::move(end)});
         return;
     }
+    if (!this->crashBook.empty()) {
+        if (const auto until = this->crashBook.blockedUntil(fingerprintOf(*request), context.now)) {
+            this->refuseQuarantined(id, *request, *until, context);
+            return;
+        }
+    }
     Exchange &exchange = this->exchanges[id];
     exchange.id = id;
     exchange.config = routes.config();
@@ -322,6 +375,7 @@
                                : event.kind == AttemptEndKind::Spoiled ? TraceKind::Spoiled
                                                                        : TraceKind::Lost,
                        attempt.part, attempt.targetId, context.now);
+        part.lost += event.kind == AttemptEndKind::Lost ? 1 : 0;
         if (event.kind == AttemptEndKind::Unreachable) {
             --part.mayHaveRun;
             --part.arrived;
@@ -367,6 +421,7 @@
     if (exchange == nullptr) {
         return;
     }
+    this->judgeCrashes(*exchange, context);
     this->release(*exchange, context.now + keepAfterCallerLeft, context);
     logEnd(*exchange->request, this->endOf(*exchange, EndReason::CallerLeft, 0, context.now),
            exchange, this->sampleOneIn, context);
@@ -415,6 +470,7 @@
                        GatewayContext &context)
 {
     const ExchangeId id = exchange.id;
+    this->judgeCrashes(exchange, context);
     ExchangeEnd end = this->endOf(exchange, reason, reply.status, context.now);
     logEnd(*exchange.request, end, &exchange, this->sampleOneIn, context);
     this->release(exchange, context.now + keepLostMedians * exchange.latency->median(), context);
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "logic/gateway/budget_loans.h"
+#include "logic/gateway/crash_book.h"
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/route_table.h"
@@ -49,6 +50,11 @@
     std::size_t exchangesInFlight() const { return this->exchanges.size(); }
     std::size_t attemptsInFlight() const { return this->attempts.size(); }
     const ForwarderCounts &counts() const { return this->count; }
+    /// A member saw a request that may crash targets.
+    void onCrash(const CrashSighting &sighting, GatewayContext &context);
+    /// What this instance saw since the last call, for the members.
+    std::vector<CrashSighting> takeCrashes() { return std::exchange(this->seenCrashes, {}); }
+    CrashBook &crashes() { return this->crashBook; }
     BudgetLoans &loans() { return this->budgetLoans; }
 
 private:
@@ -93,6 +99,10 @@
     void look(Exchange &exchange, GatewayContext &context);
     void finish(Exchange &exchange, CallerReply reply, EndReason reason, GatewayContext &context);
     void fail(Exchange &exchange, GatewayContext &context);
+    /// Whether the request crashed its targets, or shows that it does not.
+    void judgeCrashes(const Exchange &exchange, GatewayContext &context);
+    void refuseQuarantined(ExchangeId id, const ForwardedRequest &request, Instant until,
+                           GatewayContext &context);
     ExchangeEnd endOf(const Exchange &exchange, EndReason reason, int status, Instant now) const;
     void release(Exchange &exchange, Instant closeAt, GatewayContext &context);
     GatewayAttempt takeAttempt(AttemptId id, TargetOutcome outcome, GatewayContext &context);
@@ -110,6 +120,8 @@
     /// Parts that wait for a loan.
     std::unordered_map<GroupName, std::deque<WaitingPart>> withoutBudget;
     BudgetLoans budgetLoans;
+    CrashBook crashBook;
+    std::vector<CrashSighting> seenCrashes;
     std::priority_queue<Due, std::vector<Due>, std::greater<>> timers;
 };
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -26,6 +26,7 @@
     GatewayContext context {now, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event);
     this->askForBudget(context);
+    this->tellCrashes(context);
     return effects;
 }
 
@@ -108,6 +109,30 @@
     this->forwarder.loans().onLent(event, this->sync.otherMembers(), context);
 }
 
+void Gateway::on(const CrashReported &event, GatewayContext &context)
+{
+    const CrashSighting &sighting = event.sighting;
+    if (sighting.origin == this->settings.id || !this->forwarder.crashes().isNew(sighting)) {
+        return;
+    }
+    this->forwarder.onCrash(sighting, context);
+    std::vector<std::string> receivers = this->sync.relayReceivers(sighting.origin);
+    if (!receivers.empty()) {
+        context.emit(ReportCrash {std::move(receivers), sighting});
+    }
+}
+
+void Gateway::tellCrashes(GatewayContext &context)
+{
+    for (CrashSighting &sighting : this->forwarder.takeCrashes()) {
+        sighting.origin = this->settings.id;
+        std::vector<std::string> receivers = this->sync.relayReceivers(sighting.origin);
+        if (!receivers.empty()) {
+            context.emit(ReportCrash {std::move(receivers), sighting});
+        }
+    }
+}
+
 void Gateway::askForBudget(GatewayContext &context)
 {
     if (this->forwarder.loans().wants()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -60,9 +60,12 @@
     void on(const WorldNewsReceived &event, GatewayContext &context);
     void on(const BudgetAsked &event, GatewayContext &context);
     void on(const BudgetLent &event, GatewayContext &context);
+    void on(const CrashReported &event, GatewayContext &context);
     void on(const TimerDue &event, GatewayContext &context);
     void on(const ProcessPaused &event, GatewayContext &context);
     void on(const GatewayStopRequested &event, GatewayContext &context);
+    /// Tells the members of requests that may crash targets.
+    void tellCrashes(GatewayContext &context);
     /// Asks for the extra arrivals that the event wanted and the own budgets don't hold.
     void askForBudget(GatewayContext &context);
     /// Divides what the fleet shares by the number of members.
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -77,8 +77,17 @@
     BudgetLent loan;
 };
 
-using GatewayEffect = std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore,
-                                   DropIdleConnections, TellNews, AskBudget, LendBudget, WriteLog>;
+/// Tell some members of a request that may crash targets; it may be lost.
+struct ReportCrash
+{
+    /// Peer addresses.
+    std::vector<std::string> receivers;
+    CrashSighting sighting;
+};
+
+using GatewayEffect =
+        std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore, DropIdleConnections,
+                     TellNews, AskBudget, LendBudget, ReportCrash, WriteLog>;
 
 /// What a part of the gateway works with while one event is applied.
 struct GatewayContext
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "logic/gateway/store_call.h"
+#include "logic/quarantine/fingerprint.h"
 
 #include <cstdint>
 #include <map>
@@ -106,6 +107,23 @@
     Duration validFor {};
 };
 
+/// A request broke the connections of all targets that ran it, as a member saw it.
+struct CrashSighting
+{
+    Fingerprint fingerprint;
+    std::uint32_t crashes = 0;
+    /// The member that saw it.
+    InstanceId origin;
+    /// Drawn by chance, so that the word is known when it comes round again.
+    std::uint64_t number = 0;
+};
+
+/// A member tells of a request that may crash targets.
+struct CrashReported
+{
+    CrashSighting sighting;
+};
+
 /// The instant came that the reducer asked to be woken at.
 struct TimerDue
 {
@@ -127,8 +145,9 @@
 {
 };
 
-using GatewayEvent = std::variant<GatewayStarted, RequestArrived, CallerLeft, AttemptReplied,
-                                  AttemptEnded, StoreAnswered, WorldNewsReceived, BudgetAsked,
-                                  BudgetLent, TimerDue, ProcessPaused, GatewayStopRequested>;
+using GatewayEvent =
+        std::variant<GatewayStarted, RequestArrived, CallerLeft, AttemptReplied, AttemptEnded,
+                     StoreAnswered, WorldNewsReceived, BudgetAsked, BudgetLent, CrashReported,
+                     TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/world_sync.h
+++ b/logic/gateway/world_sync.h
@@ -45,6 +45,8 @@
     /// The configuration and the targets are known.
     bool ready() const { return this->table != nullptr && this->targetsKnown; }
     const std::map<std::string, MemberRecord> &members() const { return this->memberTable; }
+    /// The peer addresses of the members that this one passes on what the origin told.
+    std::vector<std::string> relayReceivers(const InstanceId &origin) const;
     /// The peer addresses of the members but this one.
     std::vector<std::string> otherMembers() const;
     const StoreHealth &store() const { return this->health; }
@@ -74,7 +76,6 @@
     void tellOthers(const std::shared_ptr<WorldNews> &news, GatewayContext &context);
     /// Passes another member's news on to the members behind this one.
     void relay(const WorldNews &news, GatewayContext &context);
-    std::vector<std::string> relayReceivers(const InstanceId &origin) const;
     void takeFullNews(const WorldNews &news, GatewayContext &context);
     void answerWish(const WorldNewsReceived &event, GatewayContext &context);
     /// Asks a member or a seed while the store can't be reached.
--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -100,16 +100,20 @@
     printf '{"name":"shared","owner":"fleet","class":"shared","service":"fit","limits":{"ratePerSecond":%d,"concurrency":600}}' \
         "$sharedLimit" > "$work/shared.json"
     "$bin/lagoondeckctl" --store "$storeAddress" --instances "$listAddress" catalogue put "$work/shared.json" --wait > /dev/null
-    local urls=() hot
+    # A file each: curl mixes the bodies of parallel transfers on one output.
+    local urls=() files=() hot
     for id in "${live[@]}"; do
-        urls+=("http://127.0.0.1:$((httpBase + ${id#entry-}))/v1/status")
+        files+=("$work/status-$id.json")
+        urls+=(-o "$work/status-$id.json" "http://127.0.0.1:$((httpBase + ${id#entry-}))/v1/status")
     done
     : > "$work/sums"
     : > "$work/answers"
     for hot in "${live[0]}" "${live[1]}"; do
         startAskers "$hot"
         for _ in $(seq 40); do
-            curl -s -Z -m 2 "${urls[@]}" 2> /dev/null \
+            rm -f "${files[@]}"
+            curl -s -Z -m 2 "${urls[@]}" 2> /dev/null || true
+            cat "${files[@]}" 2> /dev/null \
                 | jq -s '[.[].shares.shared.ratePerSecond] | [add, max] | join(" ")' -r >> "$work/sums"
             sleep 0.1
         done
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -55,6 +55,8 @@
                 this->calls.push_back(*call);
             } else if (auto *ask = std::get_if<AskBudget>(&effect)) {
                 this->asked.push_back(*ask);
+            } else if (auto *crash = std::get_if<ReportCrash>(&effect)) {
+                this->crashes.push_back(*crash);
             } else if (auto *lend = std::get_if<LendBudget>(&effect)) {
                 this->lent.push_back(*lend);
             }
@@ -200,6 +202,7 @@
     std::vector<TellNews> told;
     std::vector<AskBudget> asked;
     std::vector<LendBudget> lent;
+    std::vector<ReportCrash> crashes;
     std::vector<WriteLog> logs;
     std::uint64_t revision = 0;
     std::uint64_t lastExchange = 0;
