Tell late replies from slow targets when hedging

Cause: a second attempt went out after the route's 90th percentile, or early enough for another such reply to be in time. While a fifth of the targets is slow that percentile is past the objective, so every request was hedged at its median and the budget was gone when a slow target was met (the test's hedge never came). Change: late is three medians at most.

--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -194,10 +194,12 @@
     if (!exchange.route->idempotent) {
         return Instant::max();
     }
-    // Late by its own measure, but early enough for the second attempt to be in time.
-    const Instant late = now + latency.late() + latency.late() / 8;
-    const Instant lastUseful = exchange.objectiveAt - latency.late();
-    return std::max(std::min(late, lastUseful), now + latency.median());
+    // Late by its own measure, but early enough for the second attempt to be in time. While some
+    // targets are slow they make up the late replies, and the usual ones are to be told from them.
+    const Duration late = std::min(latency.late() + latency.late() / 8,
+                                   latency.median() * slowMedians);
+    const Instant lastUseful = exchange.objectiveAt - std::min(latency.late(), late);
+    return std::max(std::min(now + late, lastUseful), now + latency.median());
 }
 
 void Forwarder::sendTo(Exchange &exchange, std::size_t index, TargetNode &target, TraceKind kind,
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -364,3 +364,24 @@
     }
     CHECK(again == 0);
 }
+
+TEST_CASE("while some targets are slow a usual reply is still waited for")
+{
+    Route route = plainRoute("/p/", "g", true);
+    route.objective = milliseconds(150);
+    World world(configOf({route}), {target("t0", "g"), target("t1", "g"), target("t2", "g")});
+    // One reply in five is six times as late as the others.
+    for (int i = 0; i < 130; ++i) {
+        world.ask("/p/x");
+        const AttemptId attempt = world.started.back().attempt;
+        world.pass(milliseconds(i % 5 == 4 ? 120 : 20));
+        world.reply(attempt, ReplyClass::Success);
+        world.pass(milliseconds(200));
+    }
+    const std::size_t before = world.started.size();
+    world.ask("/p/x");
+    world.pass(milliseconds(40));
+    CHECK(world.started.size() == before + 1);
+    world.pass(milliseconds(40));
+    CHECK(world.started.size() == before + 2);
+}
