--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -196,8 +196,8 @@
     }
     // Late by its own measure, but early enough for the second attempt to be in time. While some
     // targets are slow they make up the late replies, and the usual ones are to be told from them.
-    const Duration late = std::min(latency.late() + latency.late() / 8,
-                                   latency.median() * slowMedians);
+    const Duration late =
+            std::min(latency.late() + latency.late() / 8, latency.median() * slowMedians);
     const Instant lastUseful = exchange.objectiveAt - std::min(latency.late(), late);
     return std::max(std::min(now + late, lastUseful), now + latency.median());
 }
--- a/logic/gateway/world_sync.cpp
+++ b/logic/gateway/world_sync.cpp
@@ -13,8 +13,8 @@
 
 /// The part of the reaction bound in which this instance asks again, as a fraction: what is left
 /// is for the members that take over and for the answer's way.
-constexpr int askPart = 13;
-constexpr int askParts = 20;
+constexpr int askPart = 1;
+constexpr int askParts = 2;
 /// A watch that is waiting may have gone silent: longer is not trusted.
 constexpr Duration longestAsk = std::chrono::seconds(3);
 /// Changes that follow one another are asked for together.
@@ -25,8 +25,9 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(150);
 constexpr Duration longestBackoff = std::chrono::milliseconds(1000);
 /// Each later member in the order of names waits so much longer for the news of the one before: a
-/// twelfth of the reaction bound.
-constexpr int rankParts = 12;
+/// fifteenth of the reaction bound. With three of these a quarter of the bound is left for a slow
+/// answer and for the members that pass it on.
+constexpr int rankParts = 15;
 /// An instance that knows no configuration serves nobody: it waits for no silent store, but long
 /// enough for a slow one, which takes a third of a second.
 constexpr Duration impatientTimeout = std::chrono::milliseconds(600);
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -321,6 +321,20 @@
     CHECK(world.answerStore<WatchWorld>(verdict(StoreVerdict::Done)));
 }
 
+TEST_CASE("a late member asks early enough for a slow answer when the first ones are gone")
+{
+    World world = oneTarget();
+    world.tell(
+            {World::memberChange("0", "127.0.0.1:7009"), World::memberChange("1", "127.0.0.1:7008"),
+             World::memberChange("2", "127.0.0.1:7007"), World::memberChange("3", "127.0.0.1:7006"),
+             World::memberChange("a", "127.0.0.1:7000")});
+    world.calls.clear();
+    world.apply(newsOf(world.revision, world.revision, {}));
+    // A quarter of the bound of 3 s is left for the answer and for passing it on.
+    world.pass(milliseconds(2250));
+    CHECK(world.answerStore<WatchWorld>(verdict(StoreVerdict::Done)));
+}
+
 TEST_CASE("an instance that knows nothing tries the store again at once when that is back")
 {
     Gateway fresh(World::settingsOf({}));
