--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -101,8 +101,8 @@
     void fail(Exchange &exchange, GatewayContext &context);
     /// Whether the request crashed its targets, or shows that it does not.
     void judgeCrashes(const Exchange &exchange, GatewayContext &context);
-    void refuseQuarantined(ExchangeId id, const ForwardedRequest &request, Instant until,
-                           GatewayContext &context);
+    /// Answers a request that crashes targets; false when it may run.
+    bool refuseQuarantined(ExchangeId id, const ForwardedRequest &request, GatewayContext &context);
     ExchangeEnd endOf(const Exchange &exchange, EndReason reason, int status, Instant now) const;
     void release(Exchange &exchange, Instant closeAt, GatewayContext &context);
     GatewayAttempt takeAttempt(AttemptId id, TargetOutcome outcome, GatewayContext &context);
