--- a/logic/gateway/world_sync_members.cpp
+++ b/logic/gateway/world_sync_members.cpp
@@ -119,7 +119,15 @@
     }
     this->relayedTo = news.to;
     this->relayedAt = context.now;
-    TellNews effect {this->relayReceivers(news.origin), std::make_shared<const WorldNews>(news)};
+    auto rest = std::make_shared<WorldNews>(news);
+    if (!this->reading && news.from <= this->revision) {
+        // Several members may have asked at once: what was passed on before is not sent again.
+        rest->from = std::min(this->revision, news.to);
+        std::erase_if(rest->changes, [this](const WorldChange &change) {
+            return change.revision <= this->revision;
+        });
+    }
+    TellNews effect {this->relayReceivers(news.origin), std::move(rest)};
     if (!effect.receivers.empty()) {
         context.emit(std::move(effect));
     }
--- a/tests/logic/gateway/test_world_sync.cpp
+++ b/tests/logic/gateway/test_world_sync.cpp
@@ -418,3 +418,30 @@
     world.apply(news);
     CHECK(world.told.size() == 1);
 }
+
+TEST_CASE("news that several members bring are passed on once")
+{
+    World world = oneTarget();
+    std::vector<WorldChange> members {World::memberChange("0", "127.0.0.1:7100"),
+                                      World::memberChange("1", "127.0.0.1:7101"),
+                                      World::memberChange("a", "127.0.0.1:7000")};
+    for (int i = 0; i < 12; ++i) {
+        members.push_back(World::memberChange("b" + std::to_string(10 + i),
+                                              "127.0.0.1:72" + std::to_string(10 + i)));
+    }
+    world.tell(members);
+    world.told.clear();
+    const std::uint64_t known = world.revision;
+    WorldChange change = World::targetChange(target("u", "g"), known + 1);
+    WorldNewsReceived first = newsOf(known, known + 1, {change});
+    first.news.origin = InstanceId("1");
+    world.apply(first);
+    WorldNewsReceived second = newsOf(known, known + 2, {change});
+    second.news.origin = InstanceId("1");
+    second.news.changes[0].revision = known + 1;
+    world.apply(second);
+    REQUIRE(world.told.size() == 2);
+    CHECK(world.told[0].news->changes.size() == 1);
+    CHECK(world.told[1].news->changes.empty());
+    CHECK(world.told[1].news->from == known + 1);
+}
