Send a gathered answer early enough for the caller's way and own delays

The answer was planned 10 ms before the objective; a caller with a new connection needs two round trips (12.4 ms there), and an instance with 0.12 of a core fires its timers late and needs about 2 ms to write an answer.

Ruled out: waiting for reading (0.1 ms), the log line before the answer alone.

Change: the round trip comes from TCP_INFO, a new connection counts it twice; late timers and the time to write an answer are measured and decay; 3 ms are left for what can't be measured. The answer is the first effect of an ended exchange.

--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -159,6 +159,17 @@
     }
 }
 
+std::optional<Duration> ByteStream::roundTripTime() const
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (getsockopt(this->socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || info.tcpi_rtt == 0) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(info.tcpi_rtt);
+}
+
 void ByteStream::finishWriting()
 {
     try {
--- a/drivers/edge/byte_stream.h
+++ b/drivers/edge/byte_stream.h
@@ -4,6 +4,7 @@
 #include "drivers/edge/edge_loop.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,9 @@
     void finishWriting();
     void close();
 
+    /// Returns the network round trip time to the peer as the operating system has measured it.
+    std::optional<Duration> roundTripTime() const;
+
     bool isConnected() const { return this->established; }
     /// Returns true if at least one byte was sent since the last call of resetWritten().
     bool hasWritten() const { return this->anyWritten; }
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -216,7 +216,8 @@
     while (!this->pendingEvents.empty()) {
         const GatewayEvent event = std::move(this->pendingEvents.front());
         this->pendingEvents.pop_front();
-        for (GatewayEffect &effect : this->gateway.apply(event, monotonicNow())) {
+        this->appliedAt = monotonicNow();
+        for (GatewayEffect &effect : this->gateway.apply(event, this->appliedAt)) {
             std::visit([this](auto &body) { this->execute(body); }, effect);
         }
     }
@@ -242,8 +243,10 @@
     const ExchangeId exchange(++this->lastExchangeId);
     this->exchanges.emplace(exchange, PendingRequest {connection.id(), std::move(method), close});
     this->exchangeByConnection[connection.id()] = exchange;
-    this->pendingEvents.push_back(RequestArrived {
-            exchange, std::make_shared<const ForwardedRequest>(std::move(*request))});
+    this->pendingEvents.push_back(
+            RequestArrived {exchange,
+                            std::make_shared<const ForwardedRequest>(std::move(*request)),
+                            {connection.roundTripTime(), connection.requestCount() == 1}});
 }
 
 void GatewayNode::onCallerLeft(ServerConnection &connection)
@@ -329,6 +332,9 @@
         const bool close = pending.close || this->stopRequestedAt.has_value();
         connection->answer(wire::writeCallerReply(effect.reply, pending.method, close), close,
                            monotonicNow());
+        if (!effect.reply.partSignatures.empty()) {
+            this->pendingEvents.push_back(AnswerWritten {monotonicNow() - this->appliedAt});
+        }
     }
 }
 
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -82,6 +82,8 @@
     Gateway gateway;
     EdgeLoop loop;
     std::deque<GatewayEvent> pendingEvents;
+    /// When the latest event was applied.
+    Instant appliedAt {};
     TargetLinks targets;
     StoreLink store;
     Inbox inbox;
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -84,6 +84,7 @@
             return;
         case ReadState::Complete:
             this->answerPending = true;
+            ++this->requestsRead;
             this->hooks.onRequest(*this, this->reader.take());
             break;
         case ReadState::Malformed:
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -33,6 +33,10 @@
                      const CallerLimits &limits, const Hooks &hooks, Instant now);
 
     std::uint64_t id() const { return this->connectionId; }
+    /// Returns the round trip time to the peer, if it is known.
+    std::optional<Duration> roundTripTime() const { return this->stream.roundTripTime(); }
+    /// Returns how many complete requests were read.
+    std::uint64_t requestCount() const { return this->requestsRead; }
     /// Sends the answer to the pending request.
     void answer(const std::string &bytes, bool close, Instant now);
     /// Returns true if a request has not been answered.
@@ -62,6 +66,7 @@
     const Hooks &hooks;
     HttpReader reader;
     std::string input;
+    std::uint64_t requestsRead = 0;
     bool answerPending = false;
     bool reading = false;
     bool closed = false;
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -65,8 +65,11 @@
     const Route *route = nullptr;
     LatencyModel *latency = nullptr;
     Instant arrivedAt {};
-    /// When the answer must be sent to reach the caller within the route's latency objective.
+    /// When the answer should be sent to reach the caller within the route's latency objective,
+    /// with a margin for this instance's own delays.
     Instant objectiveAt {};
+    /// An answer that is sent after this misses the route's latency objective.
+    Instant lateAt {};
     /// When the caller stops waiting.
     Instant deadlineAt {};
     /// How old the latest data from the store was when the request arrived.
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -10,9 +10,13 @@
 namespace {
 
 constexpr int statusNotFound = 404;
-/// For a short objective, the caller's round trip is assumed to take at most the objective divided
-/// by this.
-constexpr int minObjectiveToRoundTripRatio = 5;
+/// The assumed round trip to a caller if it is unknown.
+constexpr Duration defaultCallerRoundTrip = std::chrono::milliseconds(5);
+/// The part of the delays that this instance can't measure: the transfer of the bytes and the
+/// wake-up of the event loop.
+constexpr Duration unmeasuredDelay = std::chrono::milliseconds(3);
+/// At most the objective divided by this is left for the way to the caller and for own delays.
+constexpr int maxAnswerMarginDivisor = 3;
 /// How long to wait for the reply of a target after the caller has left. Closing the attempt at
 /// once would cost the connection.
 constexpr Duration replyWaitAfterCallerLeft = std::chrono::milliseconds(300);
@@ -39,7 +43,8 @@
 }
 
 void Forwarder::start(ExchangeId id, std::shared_ptr<const ForwardedRequest> request,
-                      const RouteTable &routes, Duration storeDataAge, GatewayContext &context)
+                      const CallerPath &path, const RouteTable &routes, Duration storeDataAge,
+                      GatewayContext &context)
 {
     const Route *route = routes.find(request->host, request->path);
     if (route == nullptr) {
@@ -61,9 +66,14 @@
     exchange.latency = &this->latencyOf(*route);
     exchange.arrivedAt = context.now;
     exchange.storeDataAge = storeDataAge;
-    const Duration roundTrip =
-            std::min(forwarding::callerRoundTrip, route->objective / minObjectiveToRoundTripRatio);
-    exchange.objectiveAt = context.now + route->objective - roundTrip;
+    const Duration networkTime =
+            path.roundTrip.value_or(defaultCallerRoundTrip) * (path.isNewConnection ? 2 : 1);
+    const Duration ownDelay = this->timerDelay.current(context.now)
+            + this->writeDelay.current(context.now) + unmeasuredDelay;
+    const Duration maxMargin = route->objective / maxAnswerMarginDivisor;
+    exchange.lateAt = context.now + route->objective - std::min(networkTime, maxMargin);
+    exchange.objectiveAt =
+            context.now + route->objective - std::min(networkTime + ownDelay, maxMargin);
     exchange.deadlineAt =
             context.now + std::min(route->timeout, request->timeLimit.value_or(route->timeout));
     exchange.request = std::move(request);
@@ -204,6 +214,7 @@
     while (!this->timers.empty() && this->timers.top().at <= context.now) {
         const Timer timer = this->timers.top();
         this->timers.pop();
+        this->timerDelay.add(context.now - timer.at, context.now);
         if (timer.kind == TimerKind::Exchange) {
             this->advance(ExchangeId(timer.id), context);
         } else {
@@ -212,6 +223,11 @@
     }
 }
 
+void Forwarder::onAnswerWritten(const AnswerWritten &event, GatewayContext &context)
+{
+    this->writeDelay.add(event.delay, context.now);
+}
+
 Instant Forwarder::nextTimer() const
 {
     return this->timers.empty() ? Instant::max() : this->timers.top().at;
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "logic/gateway/budget_loans.h"
 #include "logic/gateway/crash_tracker.h"
+#include "logic/gateway/delay_estimate.h"
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/route_table.h"
@@ -41,12 +42,15 @@
 
     /// Starts serving a request. `storeDataAge` is the age of the latest data from the store.
     void start(ExchangeId id, std::shared_ptr<const ForwardedRequest> request,
-               const RouteTable &routes, Duration storeDataAge, GatewayContext &context);
+               const CallerPath &path, const RouteTable &routes, Duration storeDataAge,
+               GatewayContext &context);
     void onReply(const AttemptReplied &event, GatewayContext &context);
     void onEnded(const AttemptEnded &event, GatewayContext &context);
     /// Called when the caller closed its connection before it got an answer.
     void onCallerLeft(ExchangeId id, GatewayContext &context);
     void onTimer(GatewayContext &context);
+    /// Called when an answer was written to its caller's connection.
+    void onAnswerWritten(const AnswerWritten &event, GatewayContext &context);
     /// Called when a member lends extra arrivals. Sends the attempts that waited for them.
     void onLoan(const BudgetLent &event, GatewayContext &context);
 
@@ -148,6 +152,10 @@
     CrashTracker trackedCrashes;
     std::vector<CrashObservation> newCrashes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
+    /// How late timers fire.
+    DelayEstimate timerDelay;
+    /// How long it takes to merge and write a gathered answer.
+    DelayEstimate writeDelay;
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -55,7 +55,7 @@
         end.outcome = ExchangeOutcome::Refused;
     } else if (status >= minErrorStatus) {
         end.outcome = ExchangeOutcome::Failed;
-    } else if (now > exchange.objectiveAt + forwarding::callerRoundTrip) {
+    } else if (now > exchange.lateAt) {
         end.outcome = ExchangeOutcome::Late;
     } else if (end.partsAnswered < end.partsNeeded) {
         end.outcome = ExchangeOutcome::Partial;
@@ -69,11 +69,12 @@
     const ExchangeId id = exchange.id;
     this->updateCrashTracker(exchange, context);
     ExchangeEnd end = this->makeExchangeEnd(exchange, reason, reply.status, context.now);
+    // The caller's answer comes first, because the other effects take time.
+    context.emit(AnswerExchange {id, std::move(reply), end});
     logExchangeEnd(*exchange.request, end, &exchange, this->sampleOneIn, context);
     this->detachAttempts(exchange,
                          context.now + losingAttemptMedianFactor * exchange.latency->median(),
                          context);
-    context.emit(AnswerExchange {id, std::move(reply), std::move(end)});
     this->exchanges.erase(id);
 }
 
@@ -124,9 +125,8 @@
     if (coverageReached && (openParts == 0 || context.now >= exchange.objectiveAt)) {
         const EndReason reason = answered == exchange.parts.size() ? EndReason::Complete
                 : openParts == 0                                   ? EndReason::PartsAbandoned
-                : context.now > exchange.objectiveAt + forwarding::callerRoundTrip
-                ? EndReason::CoverageReached
-                : EndReason::ObjectiveReached;
+                : context.now > exchange.lateAt                    ? EndReason::CoverageReached
+                                                                   : EndReason::ObjectiveReached;
         this->finish(exchange, mergedReply(exchange), reason, context);
         return;
     }
--- a/logic/gateway/forwarding_constants.h
+++ b/logic/gateway/forwarding_constants.h
@@ -7,8 +7,6 @@
 // Constants shared by the source files of Forwarder.
 
 inline constexpr int statusUnavailable = 503;
-/// The allowance for the network round trip to the caller, including a new connection.
-inline constexpr Duration callerRoundTrip = std::chrono::milliseconds(10);
 /// A target's time limit ends this much before the caller's, so that its reply can still be
 /// delivered.
 inline constexpr Duration replyTransfer = std::chrono::milliseconds(3);
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -58,7 +58,7 @@
                                      {"", ExchangeOutcome::Refused, EndReason::NoConfiguration}});
         return;
     }
-    this->forwarder.start(event.exchange, event.request, *this->storeSync.routes(),
+    this->forwarder.start(event.exchange, event.request, event.path, *this->storeSync.routes(),
                           context.now - this->storeSync.lastConfirmedAt(), context);
 }
 
@@ -67,6 +67,11 @@
     this->forwarder.onCallerLeft(event.exchange, context);
 }
 
+void Gateway::on(const AnswerWritten &event, GatewayContext &context)
+{
+    this->forwarder.onAnswerWritten(event, context);
+}
+
 void Gateway::on(const AttemptReplied &event, GatewayContext &context)
 {
     this->forwarder.onReply(event, context);
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -55,6 +55,7 @@
     void on(const GatewayStarted &event, GatewayContext &context);
     void on(const RequestArrived &event, GatewayContext &context);
     void on(const CallerLeft &event, GatewayContext &context);
+    void on(const AnswerWritten &event, GatewayContext &context);
     void on(const AttemptReplied &event, GatewayContext &context);
     void on(const AttemptEnded &event, GatewayContext &context);
     void on(const StoreAnswered &event, GatewayContext &context);
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,11 +19,22 @@
 /// Identifies a caller's request with all its attempts; unique within the process.
 using ExchangeId = StrongId<struct ExchangeTag, std::uint64_t>;
 
+/// The network path between a caller and this instance.
+struct CallerPath
+{
+    /// Empty if it is unknown.
+    std::optional<Duration> roundTrip;
+    /// True if the request is the first one of its connection, so that its caller has also waited
+    /// for the connection setup.
+    bool isNewConnection = false;
+};
+
 /// A caller's request was read completely.
 struct RequestArrived
 {
     ExchangeId exchange;
     std::shared_ptr<const ForwardedRequest> request;
+    CallerPath path;
 };
 
 /// The caller closed its connection before it got an answer.
@@ -31,6 +43,13 @@
     ExchangeId exchange;
 };
 
+/// An answer was written to its caller's connection.
+struct AnswerWritten
+{
+    /// How long ago the event was applied that caused the answer.
+    Duration delay {};
+};
+
 /// A target replied, and the attempt no longer uses its connection.
 struct AttemptReplied
 {
@@ -151,8 +170,8 @@
 };
 
 using GatewayEvent =
-        std::variant<GatewayStarted, RequestArrived, CallerLeft, AttemptReplied, AttemptEnded,
-                     StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent, CrashReported,
-                     TimerDue, ProcessPaused, GatewayStopRequested>;
+        std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
+                     AttemptEnded, StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent,
+                     CrashReported, TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -169,8 +169,8 @@
         request.requestId = "r" + std::to_string(++this->lastExchange);
         request.timeLimit = timeLimit;
         const ExchangeId id(this->lastExchange);
-        this->apply(
-                RequestArrived {id, std::make_shared<const ForwardedRequest>(std::move(request))});
+        this->apply(RequestArrived {
+                id, std::make_shared<const ForwardedRequest>(std::move(request)), this->path});
         return id;
     }
 
@@ -210,6 +210,8 @@
     std::vector<LendBudget> grantedLoans;
     std::vector<ReportCrash> crashReports;
     std::vector<WriteLog> logs;
+    /// The path of the requests that are sent next.
+    CallerPath path;
     std::uint64_t revision = 0;
     std::uint64_t lastExchange = 0;
 };
