Tell a target the time that is left when its request is written

A restarted instance with 0.12 of a core opened 63 connections, and the time limit had been written when the connection was begun, not when it stood.

Change: an attempt carries its deadline; the driver computes the time left when it writes the request, which is once the connection is established.

--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -29,16 +29,24 @@
     this->stream.watch([this](int mode) { this->onReady(mode); });
 }
 
-void ClientLink::send(const std::string &bytes, bool replyHasNoBody)
+void ClientLink::send(RequestWriter writer, bool replyHasNoBody)
 {
     this->awaitingReply = true;
     this->stream.resetWritten();
     if (replyHasNoBody) {
         this->reader.expectNoBody();
     }
-    if (!this->stream.write(bytes)) {
+    this->pendingRequest = std::move(writer);
+    if (this->stream.isConnected()) {
+        this->writeRequest();
+    }
+}
+
+void ClientLink::writeRequest()
+{
+    if (!this->stream.write(std::exchange(this->pendingRequest, nullptr)())) {
         // Some bytes may have been sent before the connection broke.
-        this->close(this->stream.isConnected() ? LinkEndKind::Lost : LinkEndKind::Unreachable);
+        this->close(LinkEndKind::Lost);
     }
 }
 
@@ -53,6 +61,12 @@
     if (!this->stream.isConnected()) {
         return;
     }
+    if (this->pendingRequest) {
+        this->writeRequest();
+        if (this->closed) {
+            return;
+        }
+    }
     const ReadResult result = this->stream.read(this->input);
     this->readReplies();
     if (this->closed || result == ReadResult::Open) {
--- a/drivers/edge/client_link.h
+++ b/drivers/edge/client_link.h
@@ -38,8 +38,11 @@
                Instant now);
 
     std::uint64_t id() const { return this->linkId; }
-    /// Sends a request. The link must be idle.
-    void send(const std::string &bytes, bool replyHasNoBody);
+    /// Returns the encoded request.
+    using RequestWriter = std::function<std::string()>;
+
+    /// Sends a request, as soon as the connection is established. The link must be idle.
+    void send(RequestWriter writer, bool replyHasNoBody);
     /// Returns true if a request was sent and its reply has not been read.
     bool isBusy() const { return this->awaitingReply; }
     bool hasEnded() const { return this->closed; }
@@ -59,6 +62,8 @@
 
 private:
     void onReady(int mode);
+    /// Writes the request that waits for the connection.
+    void writeRequest();
     void readReplies();
     void processReply();
 
@@ -67,6 +72,8 @@
     const Hooks &hooks;
     HttpReader reader;
     std::string input;
+    /// Writes the request that was not sent yet; empty if there is none.
+    RequestWriter pendingRequest;
     Instant connectDeadline {};
     bool awaitingReply = false;
     /// True if the link must not send another request, because the server closes the connection or
--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -51,7 +51,9 @@
         link->start();
     }
     if (!link->hasEnded()) {
-        link->send(wire::writeStoreCall(effect.call, this->address), false);
+        link->send([call = effect.call,
+                    address = this->address] { return wire::writeStoreCall(call, address); },
+                   false);
     }
 }
 
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// With less time a target would refuse the request at once.
+constexpr Duration minTimeLimit = std::chrono::milliseconds(1);
 /// How long an idle link is kept if the target's reply does not contain an idle time.
 constexpr Duration defaultIdleTime = std::chrono::milliseconds(800);
 /// An idle link is dropped this much earlier than its target would close it, because a request that
@@ -82,8 +84,13 @@
         link->start();
     }
     if (!link->hasEnded()) {
-        link->send(wire::writeTargetRequest(*effect.request, effect.target.value, effect.timeLeft),
-                   effect.request->method == "HEAD");
+        link->send(
+                [request = effect.request, target = effect.target.value,
+                 deadlineAt = effect.deadlineAt] {
+                    const Duration left = std::max(deadlineAt - monotonicNow(), minTimeLimit);
+                    return wire::writeTargetRequest(*request, target, left);
+                },
+                effect.request->method == "HEAD");
     }
 }
 
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -11,8 +11,6 @@
 
 /// An attempt without a reply is closed this long after its request's deadline.
 constexpr Duration closeAfterDeadline = std::chrono::milliseconds(100);
-/// The shortest time limit sent to a target. With less time it would refuse the request at once.
-constexpr Duration minTimeLeft = std::chrono::milliseconds(1);
 /// Up to this many failed connects of a part don't count as attempts.
 constexpr std::uint32_t maxFailedConnects = 4;
 /// How long to wait for a budget loan: the network round trip to the member, plus one iteration of
@@ -79,7 +77,6 @@
     this->attemptCounts.hedges += kind == TraceKind::Hedge ? 1 : 0;
     this->attemptCounts.retries += kind == TraceKind::Retry ? 1 : 0;
     const AttemptId id = context.ids.next<AttemptId>();
-    const Duration timeLeft = exchange.deadlineAt - context.now - forwarding::replyTransfer;
     this->attempts.emplace(id,
                            GatewayAttempt {exchange.id, index, &target, target.record.id,
                                            exchange.latency, part.group, context.now,
@@ -95,7 +92,7 @@
             ? this->hedgeTimeFor(exchange, context.now)
             : Instant::max();
     context.emit(StartAttempt {id, target.record.id, target.record.address, exchange.request,
-                               std::max(timeLeft, minTimeLeft)});
+                               exchange.deadlineAt - forwarding::replyTransfer});
 }
 
 void Forwarder::hedge(Exchange &exchange, std::size_t index, GatewayContext &context)
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -22,8 +22,9 @@
     TargetId target;
     std::string address;
     std::shared_ptr<const ForwardedRequest> request;
-    /// How long the target may take.
-    Duration timeLeft {};
+    /// When the target must have answered. The driver tells the target how much of this time is
+    /// left when it writes the request.
+    Instant deadlineAt {};
 };
 
 /// Closes the connection of an attempt, so that its target drops the request.
