Don't serve a query again after its coordinator fell silent with it

Links were cut after the coordinator had the query: it used both attempts of some parts and answered, the answer and its receipts were lost, and the entry instance sent those parts a third time.

Change: after such a silence the caller gets 502 (coordinator-silent), which promises nothing; if it asks again it has attempts of its own. What receipts told about used attempts, and the second start with the rest, are gone.

Test: coordinators whose messages are lost, 3 attempts of 2 before.

--- a/drivers/edge/delegation_messages.cpp
+++ b/drivers/edge/delegation_messages.cpp
@@ -99,9 +99,6 @@
     DelegationReceipt receipt;
     receipt.number = encoded.number();
     receipt.state = decodeState(encoded.state());
-    const auto &exhausted = encoded.attempts().exhausted_parts();
-    receipt.attempts.exhaustedParts.assign(exhausted.begin(), exhausted.end());
-    receipt.attempts.configVersion = encoded.attempts().config_version();
     return receipt;
 }
 
@@ -186,10 +183,6 @@
     proto::DelegationReceipt &encoded = *message->mutable_delegation_receipt();
     encoded.set_number(receipt.number);
     encoded.set_state(encodeState(receipt.state));
-    proto::PriorAttempts &attempts = *encoded.mutable_attempts();
-    attempts.mutable_exhausted_parts()->Add(receipt.attempts.exhaustedParts.begin(),
-                                            receipt.attempts.exhaustedParts.end());
-    attempts.set_config_version(receipt.attempts.configVersion);
     return message;
 }
 
--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -24,17 +24,6 @@
     std::uint64_t number = 0;
 };
 
-/// What another instance may already have sent for a request.
-struct PriorAttempts
-{
-    /// True if each part may have arrived at a target.
-    bool mayHaveArrived = false;
-    /// The parts that may have used all their attempts, by their position in the route's list. They
-    /// belong to the configuration with the version below.
-    std::vector<std::uint32_t> exhaustedParts;
-    std::uint64_t configVersion = 0;
-};
-
 /// A request that is allowed by the configuration and ready to be served.
 struct AdmittedRequest
 {
@@ -53,7 +42,6 @@
     Instant deadlineAt {};
     /// How old the latest data from the store was when the request arrived.
     Duration storeDataAge {};
-    PriorAttempts prior;
     /// Empty if the request came from a caller.
     std::optional<DelegationOrigin> origin;
 };
--- a/logic/gateway/delegation.h
+++ b/logic/gateway/delegation.h
@@ -67,8 +67,6 @@
     std::uint64_t number = 0;
     /// Anything but Accepted means that the query was not started.
     DelegationState state = DelegationState::Accepted;
-    /// The attempts that were sent to targets since the previous receipt.
-    PriorAttempts attempts;
 };
 
 /// The answer to a delegated query.
--- a/logic/gateway/delegation_intake.cpp
+++ b/logic/gateway/delegation_intake.cpp
@@ -69,7 +69,7 @@
         }
     }
     if (state != DelegationState::Accepted) {
-        context.emit(SendReceipt {event.sender, {query.number, state, {}}});
+        context.emit(SendReceipt {event.sender, {query.number, state}});
         return std::nullopt;
     }
     // One query may use more than what is left; the next ones wait until it is regained.
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -46,6 +46,8 @@
         return "deadline-passed";
     case EndReason::CallerLeft:
         return "caller-left";
+    case EndReason::CoordinatorSilent:
+        return "coordinator-silent";
     case EndReason::Quarantined:
         return "quarantined";
     }
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -30,7 +30,8 @@
     TargetsFailed, ///< All attempts failed, and no further one was allowed.
     DeadlinePassed,
     CallerLeft,
-    Quarantined, ///< The request broke the connections of targets that ran it earlier.
+    CoordinatorSilent, ///< The coordinator of the request did not react any more.
+    Quarantined,       ///< The request broke the connections of targets that ran it earlier.
 };
 
 const char *toString(ExchangeOutcome outcome);
--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -71,9 +71,6 @@
         if (exchange->origin) {
             fields.push_back({"delegatedBy", exchange->origin->member.value});
         }
-        if (exchange->prior.mayHaveArrived) {
-            fields.push_back({"triedBefore", "yes"});
-        }
         fields.push_back({"steps", exchange->trace.text()});
     } else {
         fields.push_back({"host", request.host});
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -106,35 +106,13 @@
         const GroupName &group = this->splitChoice.choose(route, context.random);
         exchange.parts.push_back({&this->targets.group(group)});
     }
-    if (exchange.prior.mayHaveArrived) {
-        this->startRepeated(exchange, context);
-    } else {
-        for (Part &part : exchange.parts) {
-            part.group->budget.onRequest(context.now);
-        }
-        for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
-            this->dispatch(exchange, i, TraceKind::Send, context);
-        }
-    }
-    this->advance(id, context);
-}
-
-void Forwarder::startRepeated(Exchange &exchange, GatewayContext &context)
-{
     for (Part &part : exchange.parts) {
-        part.possibleRuns = 1;
-        part.arrivedAttempts = 1;
-    }
-    if (exchange.prior.configVersion == exchange.config->version) {
-        for (const std::uint32_t index : exchange.prior.exhaustedParts) {
-            if (index < exchange.parts.size()) {
-                exchange.parts[index].possibleRuns = exchange.route->attempts;
-            }
-        }
+        part.group->budget.onRequest(context.now);
     }
     for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
-        this->retry(exchange, i, context);
+        this->dispatch(exchange, i, TraceKind::Send, context);
     }
+    this->advance(id, context);
 }
 
 bool Forwarder::dropUnpermitted(const Exchange &exchange, GatewayContext &context)
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -98,8 +98,6 @@
 
     /// Returns how much later than planned this instance sends an answer.
     Duration ownDelay(Instant now) const;
-    /// Starts the parts of a request for which another instance may have sent attempts.
-    void startRepeated(Exchange &exchange, GatewayContext &context);
     /// Drops a delegated exchange that is served elsewhere by now, for example because this process
     /// was paused. Returns false if it is still permitted.
     bool dropUnpermitted(const Exchange &exchange, GatewayContext &context);
@@ -135,10 +133,8 @@
     void advanceExchange(Exchange &exchange, GatewayContext &context);
     /// Sends the answer to the caller and removes the exchange.
     void finish(Exchange &exchange, CallerReply reply, EndReason reason, GatewayContext &context);
-    /// Tells the member that delegated the request that it is still being served, and which parts
-    /// have used all their attempts.
-    void sendReceipt(Exchange &exchange, std::vector<std::uint32_t> exhaustedParts,
-                     GatewayContext &context);
+    /// Tells the member that delegated the request that it is still being served.
+    void sendReceipt(Exchange &exchange, GatewayContext &context);
     /// Answers the exchange with the error that fits what its attempts did.
     void fail(Exchange &exchange, GatewayContext &context);
     /// Reports the request if it crashed its targets; clears it if a target answered it.
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int minErrorStatus = 400;
-constexpr int statusBadGateway = 502;
 constexpr int statusTimeout = 504;
 /// A request waits for a replica with capacity for at most its objective divided by this. If it is
 /// refused then, another instance can still serve it in time.
@@ -103,22 +102,19 @@
         reply.detail = "the targets did not answer in time";
         this->finish(exchange, std::move(reply), EndReason::DeadlinePassed, context);
     } else {
-        reply.status = statusBadGateway;
+        reply.status = forwarding::statusBadGateway;
         reply.detail = "the targets failed";
         this->finish(exchange, std::move(reply), EndReason::TargetsFailed, context);
     }
 }
 
-void Forwarder::sendReceipt(Exchange &exchange, std::vector<std::uint32_t> exhaustedParts,
-                            GatewayContext &context)
+void Forwarder::sendReceipt(Exchange &exchange, GatewayContext &context)
 {
     exchange.permittedUntil =
             std::max(exchange.permittedUntil,
                      context.now + forwarding::receiptTimeout - forwarding::receiptDelay);
-    DelegationReceipt receipt {exchange.origin->number, DelegationState::Accepted, {}};
-    receipt.attempts.exhaustedParts = std::move(exhaustedParts);
-    receipt.attempts.configVersion = exchange.config->version;
-    context.emit(SendReceipt {exchange.origin->address, std::move(receipt)});
+    context.emit(SendReceipt {exchange.origin->address,
+                              {exchange.origin->number, DelegationState::Accepted}});
 }
 
 void Forwarder::advance(ExchangeId id, GatewayContext &context)
@@ -164,7 +160,7 @@
     }
     if (context.now >= exchange.nextReceiptAt) {
         exchange.nextReceiptAt = context.now + receiptInterval;
-        this->sendReceipt(exchange, {}, context);
+        this->sendReceipt(exchange, context);
     }
     next = std::min(next, exchange.nextReceiptAt);
     bool partAbandoned = false;
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -93,10 +93,6 @@
             : Instant::max();
     context.emit(StartAttempt {id, target.record.id, target.record.address, exchange.request,
                                exchange.deadlineAt - forwarding::replyTransfer});
-    if (exchange.origin && part.arrivedAttempts > 1
-        && part.possibleRuns >= exchange.route->attempts) {
-        this->sendReceipt(exchange, {static_cast<std::uint32_t>(index)}, context);
-    }
 }
 
 void Forwarder::hedge(Exchange &exchange, std::size_t index, GatewayContext &context)
--- a/logic/gateway/forwarding_constants.h
+++ b/logic/gateway/forwarding_constants.h
@@ -6,6 +6,7 @@
 
 // Constants shared by the source files of Forwarder.
 
+inline constexpr int statusBadGateway = 502;
 inline constexpr int statusUnavailable = 503;
 /// A target's time limit ends this much before the caller's, so that its reply can still be
 /// delivered.
--- a/logic/gateway/query_delegator.cpp
+++ b/logic/gateway/query_delegator.cpp
@@ -177,10 +177,6 @@
     }
     found->second.silentAt = std::max(request.objectiveAt + forwarding::objectiveTolerance,
                                       context.now + forwarding::receiptTimeout);
-    request.prior.configVersion = receipt.attempts.configVersion;
-    request.prior.exhaustedParts.insert(request.prior.exhaustedParts.end(),
-                                        receipt.attempts.exhaustedParts.begin(),
-                                        receipt.attempts.exhaustedParts.end());
 }
 
 void QueryDelegator::onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context)
@@ -231,13 +227,30 @@
             this->health.onSilent(coordinator.id, context.now);
         }
         if (query.sent) {
-            context.emit(CancelDelegation {query.coordinators.front().peerAddress, current->first});
-            query.request.prior.mayHaveArrived = true;
+            this->endSilent(current, context);
+        } else {
+            this->giveBack(current);
         }
-        this->giveBack(current);
     }
 }
 
+void QueryDelegator::endSilent(Queries::iterator query, GatewayContext &context)
+{
+    // The coordinator may have used all attempts that the route allows, so none are left. A caller
+    // that asks again has attempts of its own.
+    const auto &[number, silent] = *query;
+    const MemberRecord &coordinator = silent.coordinators.front();
+    context.emit(CancelDelegation {coordinator.peerAddress, number});
+    CallerReply reply;
+    reply.status = forwarding::statusBadGateway;
+    reply.detail = "the instance that coordinated the request fell silent; it may have run";
+    ExchangeEnd end = endOf(silent.request, reply, context.now);
+    end.reason = EndReason::CoordinatorSilent;
+    context.emit(AnswerExchange {silent.request.id, std::move(reply), end});
+    logDelegatedEnd(silent.request, end, coordinator.id, this->sampleOneIn, context);
+    this->queries.erase(query);
+}
+
 Instant QueryDelegator::nextTimer() const
 {
     Instant next = Instant::max();
--- a/logic/gateway/query_delegator.h
+++ b/logic/gateway/query_delegator.h
@@ -58,7 +58,7 @@
     void onTimer(GatewayContext &context);
     /// Returns when onTimer() must be called next.
     Instant nextTimer() const;
-    /// Returns the requests that this instance must serve itself, with what was sent for them.
+    /// Returns the requests that this instance must serve itself. Nothing was sent for them.
     std::vector<AdmittedRequest> takeReturned() { return std::exchange(this->returned, {}); }
 
     std::size_t size() const { return this->queries.size(); }
@@ -85,6 +85,8 @@
     Queries::iterator find(std::uint64_t number, const InstanceId &member);
     /// Lets this instance serve the query.
     void giveBack(Queries::iterator query);
+    /// Ends a query whose coordinator does not react any more.
+    void endSilent(Queries::iterator query, GatewayContext &context);
 
     FailureDomain domain;
     std::uint64_t sampleOneIn;
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -110,6 +110,9 @@
     if (!coordinator.empty() && (reason == "targets-failed" || reason == "deadline-passed")) {
         return "the coordinator " + coordinator + " could not serve it; its own line tells why";
     }
+    if (reason == "coordinator-silent") {
+        return "the coordinator " + coordinator + " got it and fell silent; it may have run";
+    }
     if (reason == "targets-failed") {
         return "all its attempts failed and no further attempt was allowed: "
                 + describeMissingParts(line);
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -73,6 +73,8 @@
 
     /// From now on the instance neither receives nor sends anything.
     void kill(std::size_t instance) { this->dead.insert(instance); }
+    /// From now on no message of the instance reaches another member.
+    void silence(std::size_t instance) { this->silenced.insert(instance); }
     /// The instance handles nothing for a while; what arrives is handled afterwards.
     void pause(std::size_t instance, Duration duration);
     std::size_t indexOf(const std::string &id) const { return this->indexById.at(id); }
@@ -140,6 +142,7 @@
     std::unordered_map<TargetId, Target> targets;
     std::vector<StoreChange> storeState;
     std::set<std::size_t> dead;
+    std::set<std::size_t> silenced;
     std::map<std::uint64_t, Instant> sentAt;
     std::set<std::pair<std::size_t, std::uint64_t>> closedAttempts;
     /// When an instance's connection to a target was used last.
--- a/tests/logic/gateway/test_large_fleet.cpp
+++ b/tests/logic/gateway/test_large_fleet.cpp
@@ -156,3 +156,24 @@
     CHECK(maxRuns(fleet) <= plan.attempts);
     CHECK(fleet.answers.size() == fleet.queries);
 }
+
+TEST_CASE("lost answers of a coordinator don't lead to more attempts than allowed")
+{
+    FleetPlan plan;
+    plan.slowShare = 0.15;
+    GatewayFleet fleet(plan);
+    fleet.sendQueries(queriesPerSecond, std::chrono::seconds(4));
+    const std::vector<std::size_t> coordinators = fleet.coordinators();
+    fleet.sendQueries(queriesPerSecond * 4, milliseconds(100));
+    for (const std::size_t coordinator : coordinators) {
+        fleet.silence(coordinator);
+    }
+    fleet.sendQueries(queriesPerSecond, std::chrono::seconds(2));
+    fleet.run(std::chrono::seconds(3));
+    CHECK(maxRuns(fleet) <= plan.attempts);
+    CHECK(fleet.answers.size() == fleet.queries);
+    // Nobody is told that a request has not run if a coordinator may have sent it.
+    for (const auto &[number, answer] : fleet.answers) {
+        CHECK((answer.status == 200 || answer.status == 502));
+    }
+}
