--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -48,6 +48,8 @@
          "A target's probes are fast again; its load is increased in steps."},
         {LogEvent::ConnectionRefused, "ConnectionRefused", LogSeverity::Warning,
          "A target refused a connection, for example at its connection cap."},
+        {LogEvent::AttemptDelayed, "AttemptDelayed", LogSeverity::Warning,
+         "A request was written to its target long after the attempt was decided."},
         {LogEvent::ReplyUnmatched, "ReplyUnmatched", LogSeverity::Warning,
          "A reply belonged to no pending attempt and was dropped."},
         {LogEvent::ReplyMalformed, "ReplyMalformed", LogSeverity::Error,
@@ -74,6 +76,8 @@
          "This process was paused for a while; its state is checked again."},
         {LogEvent::CutOffNoticed, "CutOffNoticed", LogSeverity::Warning,
          "No message from another entry instance arrived for a while; this one may be cut off."},
+        {LogEvent::LoopStalled, "LoopStalled", LogSeverity::Warning,
+         "One iteration of the event loop took long, so events were handled late."},
         {LogEvent::BeliefsDiffer, "BeliefsDiffer", LogSeverity::Warning,
          "Another entry instance has different data for the same revision; all data is read "
          "again."},
--- a/drivers/edge/edge_loop.cpp
+++ b/drivers/edge/edge_loop.cpp
@@ -1,5 +1,7 @@
 #include "drivers/edge/edge_loop.h"
 
+#include "core/os/clock.h"
+
 #include <utility>
 
 namespace lagoondeck {
@@ -28,7 +30,9 @@
     // Rounded up, because the poll set truncates to whole milliseconds: a wait of less than one
     // millisecond would become a busy loop.
     const Duration rounded = std::chrono::ceil<std::chrono::milliseconds>(wait);
-    for (const auto &[socket, mode] : this->pollSet.poll(Poco::Timespan(rounded.count()))) {
+    const auto ready = this->pollSet.poll(Poco::Timespan(rounded.count()));
+    this->lastWakeAt = monotonicNow();
+    for (const auto &[socket, mode] : ready) {
         const auto found = this->handlers.find(socket.impl());
         if (found != this->handlers.end()) {
             // Copied, because the handler may remove itself.
--- a/drivers/edge/edge_loop.h
+++ b/drivers/edge/edge_loop.h
@@ -24,6 +24,8 @@
     void remove(const Poco::Net::Socket &socket);
     /// Waits for ready sockets, at most for the given time, and calls their handlers.
     void poll(Duration wait);
+    /// Returns when the latest wait for sockets ended.
+    Instant wokeAt() const { return this->lastWakeAt; }
 
     /// Deletes an object after the running handlers have returned.
     template <typename Object>
@@ -36,6 +38,7 @@
     Poco::Net::PollSet pollSet;
     std::unordered_map<Poco::Net::SocketImpl *, Handler> handlers;
     std::vector<std::shared_ptr<void>> toDelete;
+    Instant lastWakeAt {};
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -67,6 +67,12 @@
     writer.sample({{"cause", "first"}}, status.counts.first);
     writer.sample({{"cause", "hedge"}}, status.counts.hedges);
     writer.sample({{"cause", "retry"}}, status.counts.retries);
+    writer.begin("lagoondeck_attempt_write_delay_seconds", MetricKind::Histogram,
+                 "From the start of an attempt until its request was written.");
+    writer.sample({}, this->writeDelays);
+    writer.begin("lagoondeck_loop_iteration_seconds", MetricKind::Histogram,
+                 "Iterations of the event loop, without the time that they waited for events.");
+    writer.sample({}, this->iterationTimes);
     writeCounter(writer, "lagoondeck_attempts_without_budget_total",
                  "Hedges and retries that the budget did not allow.", status.counts.withoutBudget);
     writeGauge(writer, "lagoondeck_coordinator",
--- a/drivers/edge/gateway_metrics.h
+++ b/drivers/edge/gateway_metrics.h
@@ -28,6 +28,10 @@
 {
 public:
     void record(const ExchangeEnd &end);
+    /// Records the time from the start of an attempt until its request was written.
+    void recordWriteDelay(Duration delay) { this->writeDelays.add(delay); }
+    /// Records the time that one iteration of the event loop took, without waiting for events.
+    void recordIteration(Duration time) { this->iterationTimes.add(time); }
     /// Returns the metrics page in the Prometheus text exposition format.
     std::string page(const GatewayStatus &status, const EdgeCounts &counts) const;
 
@@ -43,6 +47,8 @@
     };
 
     std::map<std::string, RouteMetrics> routes;
+    DurationHistogram writeDelays {5};
+    DurationHistogram iterationTimes {5};
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -37,6 +37,9 @@
 /// If an iteration of the event loop takes longer than this, the process was paused: work alone
 /// does not take this long.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(700);
+/// Longer delays are logged, because a caller may have waited for them.
+constexpr Duration loggedWriteDelay = std::chrono::milliseconds(250);
+constexpr Duration loggedIterationTime = std::chrono::milliseconds(100);
 
 /// Returns the encoded answer to a request that could not be read.
 std::string makeRefusal(int status)
@@ -50,8 +53,12 @@
     : settings(std::move(settings)),
       jsonLog(STDOUT_FILENO, this->settings.id, this->settings.logLinesPerSecond),
       gateway(this->settings),
-      targets(this->loop,
-              [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); }),
+      targets(
+              this->loop,
+              [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); },
+              [this](const TargetId &target, Duration delay) {
+                  this->onRequestWritten(target, delay);
+              }),
       store(this->loop, this->settings.storeAddress,
             [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); }),
       peers(
@@ -165,6 +172,7 @@
     this->checkTimeouts(afterPoll);
     this->applyPendingEvents();
     this->jsonLog.flush(afterPoll, wallNow());
+    this->recordIteration(monotonicNow() - this->loop.wokeAt());
 }
 
 void GatewayNode::detectPause(Instant now)
@@ -179,6 +187,23 @@
     }
 }
 
+void GatewayNode::onRequestWritten(const TargetId &target, Duration delay)
+{
+    this->metrics.recordWriteDelay(delay);
+    if (delay > loggedWriteDelay) {
+        this->log({LogEvent::AttemptDelayed,
+                   {{"target", target.value}, numberField("ms", toMilliseconds(delay))}});
+    }
+}
+
+void GatewayNode::recordIteration(Duration time)
+{
+    this->metrics.recordIteration(time);
+    if (time > loggedIterationTime) {
+        this->log({LogEvent::LoopStalled, {numberField("ms", toMilliseconds(time))}});
+    }
+}
+
 void GatewayNode::checkTimeouts(Instant now)
 {
     if (now - this->lastTimeoutCheck < timeoutCheckInterval) {
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -50,6 +50,9 @@
     boost::leaf::result<void> listen();
     void runIteration(ProcessSignals &signals, const std::function<void()> &reload);
     void detectPause(Instant now);
+    void onRequestWritten(const TargetId &target, Duration delay);
+    /// Records an iteration of the event loop.
+    void recordIteration(Duration time);
     void checkTimeouts(Instant now);
     void beginStop(Instant now);
     bool canExit(Instant now) const;
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink) : loop(loop), sink(std::move(sink))
+TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten)
+    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten))
 {
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
@@ -85,10 +86,12 @@
     }
     if (!link->hasEnded()) {
         link->send(
-                [request = effect.request, target = effect.target.value,
-                 deadlineAt = effect.deadlineAt] {
-                    const Duration left = std::max(deadlineAt - monotonicNow(), minTimeLimit);
-                    return wire::writeTargetRequest(*request, target, left);
+                [this, request = effect.request, target = effect.target,
+                 deadlineAt = effect.deadlineAt, startedAt = now] {
+                    const Instant writtenAt = monotonicNow();
+                    this->onWritten(target, writtenAt - startedAt);
+                    return wire::writeTargetRequest(*request, target.value,
+                                                    std::max(deadlineAt - writtenAt, minTimeLimit));
                 },
                 effect.request->method == "HEAD");
     }
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -20,8 +20,10 @@
 {
 public:
     using Sink = std::function<void(GatewayEvent)>;
+    /// Called when a request was written, with the time since its attempt was started.
+    using WriteObserver = std::function<void(const TargetId &, Duration)>;
 
-    TargetLinks(EdgeLoop &loop, Sink sink);
+    TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten);
     ~TargetLinks();
 
     void startAttempt(const StartAttempt &effect, Instant now);
@@ -51,6 +53,7 @@
 
     EdgeLoop &loop;
     Sink sink;
+    WriteObserver onWritten;
     ClientLink::Hooks hooks;
     std::unordered_map<std::uint64_t, Entry> links;
     /// The idle links by key, the most recently used one last.
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -20,7 +20,9 @@
 public:
     LinksFixture()
         : listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
-          links(this->loop, [this](GatewayEvent event) { this->events.push_back(event); })
+          links(
+                  this->loop, [this](GatewayEvent event) { this->events.push_back(event); },
+                  [this](const TargetId &, Duration delay) { this->writeDelays.push_back(delay); })
     { }
 
     void startAttempt(std::uint64_t id, Instant deadlineAt)
@@ -58,6 +60,7 @@
     Poco::Net::ServerSocket listener;
     EdgeLoop loop;
     std::vector<GatewayEvent> events;
+    std::vector<Duration> writeDelays;
     TargetLinks links;
 };
 
@@ -79,6 +82,8 @@
     const long limit = timeLimitOf(fixture.receiveRequest(connection));
     CHECK(limit <= 500);
     CHECK(limit > 0);
+    REQUIRE(fixture.writeDelays.size() == 1);
+    CHECK(fixture.writeDelays.front() >= 300ms);
 }
 
 TEST_CASE("a request that is written after its deadline still states a time limit")
