--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -19,6 +19,14 @@
 /// The fraction of the budget that hedges leave to retries after failures.
 constexpr double hedgeReservedFraction = 0.1;
 
+/// Returns true if the part may have one more attempt, parallel to the one that is running. This
+/// may have changed since the hedge was planned or its loan was requested.
+bool canHedge(const Exchange &exchange, const Part &part)
+{
+    return exchange.route->idempotent && part.runningAttempts.size() == 1
+            && part.possibleRuns < exchange.route->attempts;
+}
+
 } // namespace
 
 bool Forwarder::isDispensable(const Exchange &exchange, const Part &part) const
@@ -99,6 +107,9 @@
 {
     Part &part = exchange.parts[index];
     part.hedgeAt = Instant::max();
+    if (!canHedge(exchange, part)) {
+        return;
+    }
     const TargetChoice choice = this->targets.choose(
             *part.group, part.triedTargets, *exchange.latency, false, context.now, context.random);
     // A hedge only helps if it runs at once. Queued behind other requests, it only adds load.
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -329,6 +329,27 @@
     }
 }
 
+// Guards against a hedge that waits for a loan while a retry uses the last attempt of its part.
+TEST_CASE("a loan that arrives after a retry starts no attempt beyond the route's limit")
+{
+    // The share of the slack covers one retry. Hedges must leave that one to retries.
+    GatewayHarness harness(configOf({plainRoute("/p/", "g", true)}),
+                           {target("t0", "g"), target("t1", "g"), target("t2", "g")},
+                           {0.0, 12.0, std::chrono::seconds(10)});
+    harness.answerWatch({GatewayHarness::memberChange("a", "127.0.0.1:7000"),
+                         GatewayHarness::memberChange("b", "127.0.0.1:7001")});
+    harness.sendRequest("/p/x");
+    while (harness.budgetRequests.empty()) {
+        harness.advance(milliseconds(1));
+        REQUIRE(harness.started.size() == 1);
+    }
+    harness.apply(AttemptEnded {harness.started[0].attempt, AttemptEndKind::Lost});
+    REQUIRE(harness.started.size() == 2);
+    harness.apply(BudgetLent {
+            harness.budgetRequests[0].number, {{GroupName("g"), 1}}, RetryBudget::loanLifetime});
+    CHECK(harness.started.size() == 2);
+}
+
 TEST_CASE("an instance lends unused retry budget")
 {
     GatewayHarness harness(configOf({plainRoute("/p/", "g", true)}), {target("t0", "g")},
