--- a/core/os/clock.h
+++ b/core/os/clock.h
@@ -6,10 +6,17 @@
 
 namespace lagoondeck {
 
+/// The clock of monotonicNow(). It also advances while the machine is suspended, so that time
+/// limits, leases and loans run out meanwhile.
+inline constexpr clockid_t monotonicClock = CLOCK_BOOTTIME;
+
 /// Returns the current time of the monotonic clock. Only drivers and daemons read it.
 inline Instant monotonicNow()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec time {};
+    clock_gettime(monotonicClock, &time);
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 /// Returns the current time of the wall clock.
@@ -18,17 +25,4 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
-/// Returns how long the machine has been suspended since it was started. The monotonic clock
-/// doesn't advance while the machine is suspended.
-inline Duration suspendedTime()
-{
-    timespec sinceBoot {};
-    timespec running {};
-    clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
-    clock_gettime(CLOCK_MONOTONIC, &running);
-    const auto seconds = std::chrono::seconds(sinceBoot.tv_sec - running.tv_sec);
-    const auto rest = std::chrono::nanoseconds(sinceBoot.tv_nsec - running.tv_nsec);
-    return std::chrono::duration_cast<Duration>(seconds + rest);
-}
-
 } // namespace lagoondeck
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -136,7 +136,6 @@
 {
     BOOST_LEAF_CHECK(this->listen());
     this->lastIterationAt = monotonicNow();
-    this->lastSuspendedTime = suspendedTime();
     this->log({LogEvent::Started,
                {{"callers", this->settings.callerAddress},
                 {"failureDomain", this->settings.failureDomain.value},
@@ -177,11 +176,8 @@
 
 void GatewayNode::detectPause(Instant now)
 {
-    const Duration suspendedTimeNow = suspendedTime();
-    const Duration pauseLength = std::max<Duration>(now - this->lastIterationAt,
-                                                    suspendedTimeNow - this->lastSuspendedTime);
+    const Duration pauseLength = now - this->lastIterationAt;
     this->lastIterationAt = now;
-    this->lastSuspendedTime = suspendedTimeNow;
     if (pauseLength > pauseThreshold) {
         this->pendingEvents.push_back(ProcessPaused {pauseLength});
     }
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -107,7 +107,6 @@
     std::uint64_t lastExchangeId = 0;
     Instant lastTimeoutCheck {};
     Instant lastIterationAt {};
-    Duration lastSuspendedTime {};
     std::optional<Instant> stopRequestedAt;
 };
 
--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peer_socket.h"
 
+#include "core/os/clock.h"
 #include "drivers/peer_errors.h"
 #include "proto/peer.pb.h"
 
@@ -40,11 +41,6 @@
 constexpr const char *authenticationAddress = "inproc://zeromq.zap.01";
 constexpr std::string_view authenticationDomain = "cell";
 
-Instant monotonicNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 Duration threadProcessorTime()
 {
     timespec cpuTime {};
