--- a/drivers/edge/edge_loop.cpp
+++ b/drivers/edge/edge_loop.cpp
@@ -30,8 +30,10 @@
     // Rounded up, because the poll set truncates to whole milliseconds: a wait of less than one
     // millisecond would become a busy loop.
     const Duration rounded = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    const Instant calledAt = monotonicNow();
     const auto ready = this->pollSet.poll(Poco::Timespan(rounded.count()));
-    this->lastWakeAt = monotonicNow();
+    this->arrivals.onWaited(calledAt, rounded, monotonicNow());
+    ++this->waits;
     for (const auto &[socket, mode] : ready) {
         const auto found = this->handlers.find(socket.impl());
         if (found != this->handlers.end()) {
--- a/drivers/edge/edge_loop.h
+++ b/drivers/edge/edge_loop.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/time.h"
+#include "drivers/edge/arrival_bound.h"
 
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -25,7 +27,11 @@
     /// Waits for ready sockets, at most for the given time, and calls their handlers.
     void poll(Duration wait);
     /// Returns when the latest wait for sockets ended.
-    Instant wokeAt() const { return this->lastWakeAt; }
+    Instant wokeAt() const { return this->arrivals.wokeAt(); }
+    /// Returns a time after which the data has arrived that is read now.
+    Instant arrivedAfter() const { return this->arrivals.arrivedAfter(); }
+    /// Returns how many times the loop has waited for sockets.
+    std::uint64_t waitCount() const { return this->waits; }
 
     /// Deletes an object after the running handlers have returned.
     template <typename Object>
@@ -38,7 +44,8 @@
     Poco::Net::PollSet pollSet;
     std::unordered_map<Poco::Net::SocketImpl *, Handler> handlers;
     std::vector<std::shared_ptr<void>> toDelete;
-    Instant lastWakeAt {};
+    ArrivalBound arrivals;
+    std::uint64_t waits = 0;
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -271,7 +271,8 @@
     this->pendingEvents.push_back(
             RequestArrived {exchange,
                             std::make_shared<const ForwardedRequest>(std::move(*request)),
-                            {connection.roundTripTime(), connection.requestCount() == 1}});
+                            {connection.roundTripTime(), connection.requestCount() == 1},
+                            monotonicNow() - connection.requestArrivedAfter()});
 }
 
 void GatewayNode::onCallerLeft(ServerConnection &connection)
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -23,8 +23,9 @@
 
 ServerConnection::ServerConnection(EdgeLoop &loop, Poco::Net::StreamSocket socket, std::uint64_t id,
                                    const CallerLimits &limits, const Hooks &hooks, Instant now)
-    : stream(loop, std::move(socket)), connectionId(id), limits(limits), hooks(hooks),
-      reader(HttpReader::Kind::Request, limits.headerBytes, limits.bodyBytes), idleSince(now)
+    : loop(loop), stream(loop, std::move(socket)), connectionId(id), limits(limits), hooks(hooks),
+      reader(HttpReader::Kind::Request, limits.headerBytes, limits.bodyBytes),
+      establishedAfter(loop.arrivedAfter()), acceptedAtWait(loop.waitCount()), idleSince(now)
 {
     this->stream.watch([this](int mode) { this->onReady(mode); });
 }
@@ -47,7 +48,9 @@
         this->close();
         return;
     }
+    const std::size_t bufferedBytes = this->input.size();
     const ReadResult result = this->stream.read(this->input);
+    this->inputArrivals.add(this->input.size() - bufferedBytes, this->arrivedAfter());
     if (result == ReadResult::Broken || (result == ReadResult::Closed && this->answerPending)) {
         this->close();
         return;
@@ -58,6 +61,13 @@
     }
 }
 
+Instant ServerConnection::arrivedAfter() const
+{
+    // The first request of a connection may have arrived together with it.
+    return this->loop.waitCount() == this->acceptedAtWait + 1 ? this->establishedAfter
+                                                              : this->loop.arrivedAfter();
+}
+
 void ServerConnection::readRequests()
 {
     // Prevents recursion: the request may be answered at once, and answer() calls this function for
@@ -75,8 +85,12 @@
     while (!this->answerPending && !this->closing && !this->closed && !this->input.empty()) {
         if (!this->reader.hasStarted()) {
             this->requestStartedAt = monotonicNow();
+            this->requestArrival = this->inputArrivals.first();
         }
-        switch (this->reader.read(this->input)) {
+        const std::size_t bufferedBytes = this->input.size();
+        const ReadState state = this->reader.read(this->input);
+        this->inputArrivals.remove(bufferedBytes - this->input.size());
+        switch (state) {
         case ReadState::Incomplete:
             if (this->reader.expectsContinue()) {
                 this->stream.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -125,6 +139,7 @@
 {
     this->closing = true;
     this->closingSince = monotonicNow();
+    this->inputArrivals.remove(this->input.size());
     this->input.clear();
     this->finishWritingWhenSent();
 }
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -3,6 +3,7 @@
 #include "core/http_message.h"
 #include "core/routing_config.h"
 #include "core/time.h"
+#include "drivers/edge/byte_arrivals.h"
 #include "drivers/edge/byte_stream.h"
 #include "drivers/edge/http_reader.h"
 
@@ -37,6 +38,8 @@
     std::optional<Duration> roundTripTime() const { return this->stream.roundTripTime(); }
     /// Returns how many complete requests were read.
     std::uint64_t requestCount() const { return this->requestsRead; }
+    /// Returns a time after which the first byte of the latest request arrived.
+    Instant requestArrivedAfter() const { return this->requestArrival; }
     /// Sends the answer to the pending request.
     void answer(const std::string &bytes, bool close, Instant now);
     /// Returns true if a request has not been answered.
@@ -53,6 +56,8 @@
 
 private:
     void onReady(int mode);
+    /// Returns a time after which the bytes have arrived that are read now.
+    Instant arrivedAfter() const;
     void readRequests();
     void readAvailableRequests();
     void refuse(int status);
@@ -60,12 +65,19 @@
     void closeAfterOutput();
     void finishWritingWhenSent();
 
+    EdgeLoop &loop;
     ByteStream stream;
     std::uint64_t connectionId;
     CallerLimits limits;
     const Hooks &hooks;
     HttpReader reader;
     std::string input;
+    ByteArrivals inputArrivals;
+    Instant requestArrival {};
+    /// A time after which the connection was established, and how often the loop had waited when it
+    /// was accepted.
+    Instant establishedAfter {};
+    std::uint64_t acceptedAtWait = 0;
     std::uint64_t requestsRead = 0;
     bool answerPending = false;
     bool reading = false;
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -48,6 +48,8 @@
         return "caller-left";
     case EndReason::CoordinatorSilent:
         return "coordinator-silent";
+    case EndReason::ReadLate:
+        return "read-late";
     case EndReason::Quarantined:
         return "quarantined";
     }
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -31,6 +31,7 @@
     DeadlinePassed,
     CallerLeft,
     CoordinatorSilent, ///< The coordinator of the request did not react any more.
+    ReadLate,          ///< The caller's time may have run out before the request was read.
     Quarantined,       ///< The request broke the connections of targets that ran it earlier.
 };
 
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -21,6 +21,20 @@
 /// once would cost the connection.
 constexpr Duration replyWaitAfterCallerLeft = std::chrono::milliseconds(300);
 
+/// Refuses a request whose caller may have stopped waiting before the request was read. A caller
+/// that still waits can send it to another instance.
+void refuseReadLate(const RequestArrived &event, const Route &route, std::uint64_t sampleOneIn,
+                    GatewayContext &context)
+{
+    CallerReply reply;
+    reply.status = forwarding::statusUnavailable;
+    reply.retryAfter = forwarding::retryAfterRefusal;
+    reply.detail = "not run: this instance read the request too late";
+    ExchangeEnd end {route.name, ExchangeOutcome::Refused, EndReason::ReadLate, event.maxWait};
+    logExchangeEnd(*event.request, end, nullptr, sampleOneIn, context);
+    context.emit(AnswerExchange {event.exchange, std::move(reply), std::move(end)});
+}
+
 } // namespace
 
 Forwarder::Forwarder(TargetRegistry &targets, RetryAllowance allowance, std::uint64_t sampleOneIn)
@@ -59,6 +73,12 @@
     if (this->refuseQuarantined(event.exchange, *event.request, context)) {
         return std::nullopt;
     }
+    const Instant deadlineAt = context.now - event.maxWait
+            + std::min(route->timeout, event.request->timeLimit.value_or(route->timeout));
+    if (deadlineAt <= context.now) {
+        refuseReadLate(event, *route, this->sampleOneIn, context);
+        return std::nullopt;
+    }
     const Duration networkTime = event.path.roundTrip.value_or(defaultCallerRoundTrip)
             * (event.path.isNewConnection ? 2 : 1);
     const Duration margin = networkTime + this->ownDelay(context.now) + unmeasuredDelay;
@@ -71,8 +91,7 @@
     request.arrivedAt = context.now;
     request.objectiveAt = context.now + route->objective - std::min(margin, maxMargin);
     request.lateAt = context.now + route->objective - std::min(networkTime, maxMargin);
-    request.deadlineAt = context.now
-            + std::min(route->timeout, event.request->timeLimit.value_or(route->timeout));
+    request.deadlineAt = deadlineAt;
     request.storeDataAge = storeDataAge;
     return request;
 }
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -23,7 +23,6 @@
 /// While a delegated request is served past its objective, the member that delegated it gets a
 /// receipt this often.
 constexpr Duration receiptInterval = std::chrono::milliseconds(100);
-constexpr Duration retryAfterRefusal = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -94,7 +93,7 @@
         this->finish(exchange, std::move(reply), EndReason::TargetFailed, context);
     } else if (!exchange.mayHaveRun()) {
         reply.status = forwarding::statusUnavailable;
-        reply.retryAfter = retryAfterRefusal;
+        reply.retryAfter = forwarding::retryAfterRefusal;
         reply.detail = "not run: no target could take the request";
         this->finish(exchange, std::move(reply), EndReason::NoTarget, context);
     } else if (context.now >= exchange.deadlineAt) {
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -34,6 +34,8 @@
     ExchangeId exchange;
     std::shared_ptr<const ForwardedRequest> request;
     CallerPath path;
+    /// How long the request waited at most until it was read.
+    Duration maxWait {};
 };
 
 /// The caller closed its connection before it got an answer.
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -96,6 +96,9 @@
     if (reason == "no-configuration") {
         return "the instance had no configuration yet";
     }
+    if (reason == "read-late") {
+        return "the instance was busy or paused, and read it too late to serve it";
+    }
     if (reason == "no-route") {
         return "no route of the configuration in force matches its host and path";
     }
--- a/standins/platform_target.cpp
+++ b/standins/platform_target.cpp
@@ -1,5 +1,6 @@
 #include "standins/platform_target.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -26,6 +27,13 @@
             .dump();
 }
 
+std::optional<Duration> PlatformTarget::timeLimitOf(const std::string &requestId) const
+{
+    const std::scoped_lock lock(this->timeLimitsMutex);
+    const auto found = this->timeLimits.find(requestId);
+    return found == this->timeLimits.end() ? std::nullopt : std::optional(found->second);
+}
+
 void PlatformTarget::onRequest(HttpConnection &connection, const ReceivedRequest &request)
 {
     const std::string id = request.header("Request-Id");
@@ -42,6 +50,11 @@
         connection.close();
         return;
     }
+    {
+        const std::scoped_lock lock(this->timeLimitsMutex);
+        this->timeLimits[id] = std::chrono::milliseconds(
+                std::strtol(request.header("Deadline-Ms").c_str(), nullptr, 10));
+    }
     ++this->runCount;
     this->duplicateRunCount += this->seen.insert(id).second ? 0 : 1;
     const std::uint64_t number = connection.number();
--- a/standins/platform_target.h
+++ b/standins/platform_target.h
@@ -5,6 +5,9 @@
 #include "standins/http_server.h"
 
 #include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,6 +42,8 @@
     void setFault(TargetFault value) { this->fault = value; }
     void setDelay(Duration value) { this->delay = value; }
     std::uint64_t runs() const { return this->runCount; }
+    /// Returns the time limit that came with the request; empty if it did not run here.
+    std::optional<Duration> timeLimitOf(const std::string &requestId) const;
     /// Returns the number of runs of requests that had already run on this target.
     std::uint64_t duplicateRuns() const { return this->duplicateRunCount; }
 
@@ -52,6 +57,8 @@
     TargetFault fault = TargetFault::None;
     Duration delay {};
     std::set<std::string> seen;
+    mutable std::mutex timeLimitsMutex;
+    std::map<std::string, Duration> timeLimits;
     std::uint64_t runCount = 0;
     std::uint64_t duplicateRunCount = 0;
     HttpServer server;
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -205,6 +205,26 @@
     CHECK(second < third);
 }
 
+// Guards against a pipelined request whose time starts when the request before it was answered.
+TEST_CASE("the time that a pipelined request waits for the one before it counts as its own")
+{
+    GatewayFixture fixture;
+    for (const auto &target : fixture.targets) {
+        target->setDelay(300ms);
+    }
+    const auto request = [](const std::string &id, const std::string &more) {
+        return "GET /one/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 1000\r\n"
+                + more + "\r\n";
+    };
+    fixture.sendRaw(request("w1", "") + request("w2", "Connection: close\r\n"));
+    std::optional<Duration> limit;
+    for (const auto &target : fixture.targets) {
+        limit = limit ? limit : target->timeLimitOf("w2");
+    }
+    REQUIRE(limit);
+    CHECK(*limit <= 700ms);
+}
+
 TEST_CASE("a misbehaving target's replies never reach a caller as a success")
 {
     GatewayFixture fixture;
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -169,8 +169,9 @@
         request.requestId = "r" + std::to_string(++this->lastExchange);
         request.timeLimit = timeLimit;
         const ExchangeId id(this->lastExchange);
-        this->apply(RequestArrived {
-                id, std::make_shared<const ForwardedRequest>(std::move(request)), this->path});
+        this->apply(RequestArrived {id,
+                                    std::make_shared<const ForwardedRequest>(std::move(request)),
+                                    this->path, this->maxWait});
         return id;
     }
 
@@ -212,6 +213,8 @@
     std::vector<WriteLog> logs;
     /// The path of the requests that are sent next.
     CallerPath path;
+    /// How long the requests that are sent next waited unread.
+    Duration maxWait {};
     std::uint64_t revision = 0;
     std::uint64_t lastExchange = 0;
 };
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -156,6 +156,30 @@
     CHECK(harness.started[1].deadlineAt < callerLeavesAt);
 }
 
+// Guards against a caller's time that starts when its request is read, not when it arrives.
+TEST_CASE("the time that a request waited unread is not handed to the targets")
+{
+    GatewayHarness harness = plainHarness(true);
+    const Instant callerLeavesAt = harness.now + milliseconds(200);
+    harness.maxWait = milliseconds(300);
+    harness.sendRequest("/p/x", milliseconds(500));
+    REQUIRE(harness.started.size() == 1);
+    CHECK(harness.started[0].deadlineAt < callerLeavesAt);
+}
+
+// Guards against requests that are sent to targets after their callers have left, for example when
+// a process continues after a pause.
+TEST_CASE("a request that may have been read after its caller's deadline is refused at once")
+{
+    GatewayHarness harness = plainHarness(true);
+    harness.maxWait = std::chrono::seconds(3);
+    const ExchangeId id = harness.sendRequest("/p/x", milliseconds(600));
+    CHECK(harness.started.empty());
+    REQUIRE(harness.answerOf(id));
+    CHECK(harness.answerOf(id)->status == 503);
+    CHECK(harness.answerOf(id)->retryAfter > Duration(0));
+}
+
 TEST_CASE("attempts are closed within half a second after their caller left")
 {
     GatewayHarness harness = plainHarness(true);
