--- a/core/http_message.h
+++ b/core/http_message.h
@@ -69,6 +69,9 @@
     HeaderFields fields;
     /// The target's proof that it produced the answer itself.
     std::string signature;
+    /// How many requests per second the target takes from the whole fleet at present; empty when it
+    /// states no limit.
+    std::optional<double> requestLimit;
     std::string body;
     /// Whether another process than the addressed target sent the reply.
     bool otherInstance = false;
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -40,6 +40,8 @@
     SnapshotAdopted = 330,
     QueryRestarted = 331,
     RequestQuarantined = 340,
+    TargetLimited = 350,
+    TargetLimitEnded = 351,
     MemberJoined = 400,
     MemberSuspected = 401,
     MemberLost = 402,
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -75,6 +75,14 @@
     writer.sample({}, this->iterationTimes);
     writeCounter(writer, "lagoondeck_attempts_without_budget_total",
                  "Hedges and retries that the budget did not allow.", status.counts.withoutBudget);
+    writeGauge(writer, "lagoondeck_targets_limited",
+               "Targets that limit the requests of the whole fleet.",
+               static_cast<double>(status.limitedTargets));
+    writer.begin("lagoondeck_limited_attempts_total", MetricKind::Counter,
+                 "Attempts at targets that limit their requests, by cause.");
+    writer.sample({{"cause", "first"}}, status.limitedAttempts.first);
+    writer.sample({{"cause", "hedge"}}, status.limitedAttempts.hedges);
+    writer.sample({{"cause", "retry"}}, status.limitedAttempts.retries);
     writeGauge(writer, "lagoondeck_coordinator",
                "1 when the instance is one of the fleet's coordinators.",
                status.isCoordinator ? 1 : 0);
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -176,6 +176,17 @@
     return attempt;
 }
 
+void Forwarder::updateLimit(const GatewayAttempt &attempt, const ForwardedReply &reply,
+                            GatewayContext &context)
+{
+    // A refusal may come from a proxy or another process. Only the target's own reply proves that
+    // it states no limit.
+    const bool isSigned = reply.kind == ReplyClass::Success || reply.kind == ReplyClass::Failure;
+    if (!reply.otherInstance && !reply.otherRequest && (isSigned || reply.requestLimit)) {
+        this->targets.limits().onStated(attempt.targetId, reply.requestLimit, context);
+    }
+}
+
 void Forwarder::onReply(const AttemptReplied &event, GatewayContext &context)
 {
     if (!this->attempts.contains(event.attempt)) {
@@ -186,6 +197,7 @@
             : reply.kind == ReplyClass::NotRun && !reply.otherInstance ? TargetOutcome::Shed
                                                                        : TargetOutcome::Failed;
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
+    this->updateLimit(attempt, reply, context);
     if (outcome == TargetOutcome::Answered) {
         attempt.latency->add(context.now - attempt.sentAt);
     }
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -101,6 +101,9 @@
     /// Drops a delegated exchange that is served elsewhere by now, for example because this process
     /// was paused. Returns false if it is still permitted.
     bool dropUnpermitted(const Exchange &exchange, GatewayContext &context);
+    /// Updates the limit of the attempt's target from its reply.
+    void updateLimit(const GatewayAttempt &attempt, const ForwardedReply &reply,
+                     GatewayContext &context);
     /// Removes an exchange that has ended.
     void erase(const Exchange &exchange);
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -297,6 +297,8 @@
     status.counts = this->forwarder.counts();
     status.delegation = this->delegator.counts();
     status.coordinated = this->intake.takenCount();
+    status.limitedTargets = this->targets.limits().limitedCount(now);
+    status.limitedAttempts = this->targets.limits().counts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.storeDataAge = now - this->storeSync.lastConfirmedAt();
     return status;
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -38,6 +38,9 @@
     /// Queries that this instance coordinated for other members.
     std::uint64_t coordinated = 0;
     bool isCoordinator = false;
+    /// How many targets limit the requests that they take.
+    std::size_t limitedTargets = 0;
+    LimitCounts limitedAttempts;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -129,6 +129,7 @@
         return;
     }
     this->detach(*found->second);
+    this->targetLimits.forget(target);
     if (found->second->inFlight > 0) {
         this->retired.push_back(std::move(found->second));
     }
@@ -258,8 +259,9 @@
     return {best, ChoiceProblem::None};
 }
 
-void TargetRegistry::onSent(TargetNode &target, Instant now)
+void TargetRegistry::onSent(TargetNode &target, TraceKind cause, Instant now)
 {
+    this->targetLimits.onSent(target.record.id, cause, now);
     ++target.inFlight;
     target.sendTimes.insert(now);
     if (target.isFailing()) {
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -5,6 +5,7 @@
 #include "logic/context.h"
 #include "logic/gateway/latency_model.h"
 #include "logic/gateway/retry_budget.h"
+#include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
 
 #include <cstdint>
@@ -83,7 +84,7 @@
     TargetChoice choose(TargetGroup &group, std::span<const TargetId> excluded,
                         const LatencyModel &model, bool allowAvoided, Instant now,
                         RandomEngine &random);
-    void onSent(TargetNode &target, Instant now);
+    void onSent(TargetNode &target, TraceKind cause, Instant now);
     void onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
                  const LatencyModel &model, Instant now);
 
@@ -100,6 +101,9 @@
         return this->targets;
     }
     std::size_t instanceCount() const { return this->instances; }
+    /// The limits that targets state.
+    TargetLimits &limits() { return this->targetLimits; }
+    const TargetLimits &limits() const { return this->targetLimits; }
 
 private:
     /// Returns true if this instance's share of the connection cap allows another request.
@@ -114,6 +118,7 @@
     /// Removed targets at which requests are still running.
     std::vector<std::unique_ptr<TargetNode>> retired;
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
+    TargetLimits targetLimits;
     FailureDomain failureDomain;
     std::size_t instances = 1;
     std::size_t coordinators = 0;
--- a/tests/platform/test_message_codec.cpp
+++ b/tests/platform/test_message_codec.cpp
@@ -140,3 +140,19 @@
     CHECK_FALSE(wire::readIdleTime({{"Keep-Alive", "max=9"}}));
     CHECK_FALSE(wire::readIdleTime({}));
 }
+
+TEST_CASE("a target's limit is a finite number of at least zero")
+{
+    const auto limitOf = [](const std::string &value) {
+        return wire::readTargetReply(reply(200, {{"Server-Stamp", "s"}, {"server-limit", value}}),
+                                     "r")
+                .requestLimit;
+    };
+    CHECK(limitOf("33.1") == 33.1);
+    CHECK(limitOf(" 0 ") == 0.0);
+    CHECK(limitOf("1e2") == 100.0);
+    for (const char *text : {"", "-1", "nan", "inf", "many", "5 per second"}) {
+        CHECK_FALSE(limitOf(text));
+    }
+    CHECK_FALSE(wire::readTargetReply(reply(200, {{"Server-Stamp", "s"}}), "r").requestLimit);
+}
