--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: build lint
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	misc/known_red.sh $(BUILD)
 
 demo: build
 	misc/demo.sh $(BUILD)
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -16,6 +16,8 @@
 constexpr double latencySigma = 0.35;
 constexpr double tailProbability = 0.01;
 constexpr double fleetLinkMbps = 100.0;
+/// An instance counts as told of a limit this long after its first reply with it.
+constexpr Duration toldDelay = milliseconds(500);
 
 FailureDomain domainName(std::size_t index)
 {
@@ -30,7 +32,21 @@
     route.objective = plan.objective;
     route.timeout = plan.objective * 10;
     route.attempts = plan.attempts;
-    this->storeState.push_back(GatewayHarness::configChange(configOf({route}), 1));
+    Route urgentRoute = route;
+    urgentRoute.name = urgentRoute.prefix = urgent;
+    urgentRoute.priority = route.priority;
+    route.priority = urgentRoute.priority + 1;
+    Route single = plainRoute(plain, "plain", true);
+    single.objective = plan.objective;
+    single.timeout = plan.objective * 10;
+    this->storeState.push_back(
+            GatewayHarness::configChange(configOf({route, urgentRoute, single}), 1));
+    for (std::size_t i = 0; i < plan.plainTargets; ++i) {
+        TargetRecord record = target("p" + std::to_string(i), "plain");
+        record.failureDomain = domainName(i % plan.domains);
+        this->storeState.push_back(GatewayHarness::targetChange(record, 1));
+        this->targets[record.id] = {record, Duration(0), 1.0, std::nullopt, {}};
+    }
     std::bernoulli_distribution isSlow(plan.slowShare);
     std::uniform_int_distribution<Duration::rep> anyOffset(0, plan.pausePeriod.count());
     for (std::size_t shard = 0; shard < plan.shards; ++shard) {
@@ -39,28 +55,25 @@
                                          "shard" + std::to_string(shard));
             record.failureDomain = domainName(domain);
             this->storeState.push_back(GatewayHarness::targetChange(record, 1));
-            this->targets[record.id] = {record, Duration(anyOffset(this->random)),
-                                        isSlow(this->random) ? plan.slowFactor : 1.0};
+            this->targets[record.id] = {record,
+                                        Duration(anyOffset(this->random)),
+                                        isSlow(this->random) ? plan.slowFactor : 1.0,
+                                        std::nullopt,
+                                        {}};
         }
     }
     this->lastAttemptAt.resize(plan.instances);
     for (std::size_t i = 0; i < plan.instances; ++i) {
-        GatewaySettings settings =
-                GatewayHarness::settingsOf({0.2, 400.0, std::chrono::seconds(10)});
-        settings.id = InstanceId("n" + std::to_string(i));
-        settings.peerAddress = this->addressOf(i);
-        settings.failureDomain = domainName(i % plan.domains);
-        settings.linkMbps = fleetLinkMbps;
-        settings.seed = plan.seed * 1000 + i;
         Node node;
         node.share =
                 i / plan.domains % largeInstanceInterval == 0 ? plan.largeShare : plan.smallShare;
-        settings.processorShare = plan.withCoordinators ? node.share : 0.0;
-        node.domain = settings.failureDomain;
-        node.gateway = std::make_unique<Gateway>(settings);
+        this->nodes.push_back(std::move(node));
+        const GatewaySettings settings = this->settingsFor(i);
+        Node &added = this->nodes.back();
+        added.domain = settings.failureDomain;
+        added.gateway = std::make_unique<Gateway>(settings);
         this->indexById[settings.id.value] = i;
         this->indexByAddress[settings.peerAddress] = i;
-        this->nodes.push_back(std::move(node));
         StoreChange member = GatewayHarness::memberChange(settings.id.value, settings.peerAddress);
         member.content = MemberRecord {settings.id, settings.peerAddress, settings.failureDomain,
                                        coordinatorCapacity(settings)};
@@ -72,6 +85,38 @@
     this->run(milliseconds(500));
 }
 
+GatewaySettings GatewayFleet::settingsFor(std::size_t instance) const
+{
+    GatewaySettings settings = GatewayHarness::settingsOf({0.2, 400.0, std::chrono::seconds(10)});
+    settings.id = InstanceId("n" + std::to_string(instance));
+    settings.peerAddress = this->addressOf(instance);
+    settings.failureDomain = domainName(instance % this->plan.domains);
+    settings.linkMbps = fleetLinkMbps;
+    settings.seed = this->plan.seed * 1000 + instance;
+    settings.processorShare = this->plan.withCoordinators ? this->nodes[instance].share : 0.0;
+    return settings;
+}
+
+void GatewayFleet::setLimit(const std::string &target, std::optional<double> perSecond)
+{
+    Target &limited = this->targets.at(TargetId(target));
+    limited.limit = perSecond;
+    limited.toldAt.clear();
+}
+
+void GatewayFleet::restart(std::size_t instance)
+{
+    GatewaySettings settings = this->settingsFor(instance);
+    settings.firstStart = false;
+    ++this->nodes[instance].run;
+    settings.seed += 1'000'000 * this->nodes[instance].run;
+    this->nodes[instance].gateway = std::make_unique<Gateway>(settings);
+    for (auto &[id, target] : this->targets) {
+        target.toldAt.erase(instance);
+    }
+    this->apply(instance, GatewayStarted {});
+}
+
 std::string GatewayFleet::addressOf(std::size_t instance) const
 {
     return "10.0." + std::to_string(instance / 250) + "." + std::to_string(instance % 250)
@@ -100,16 +145,19 @@
     this->nodes[instance].pausedUntil = this->now + duration;
 }
 
-std::uint64_t GatewayFleet::sendQuery(std::size_t instance)
+std::uint64_t GatewayFleet::sendQuery(std::size_t instance, const std::string &prefix)
 {
     const std::uint64_t number = ++this->lastQuery;
     ++this->queries;
     ForwardedRequest request;
     request.method = "GET";
-    request.path = "/g/" + std::to_string(number);
+    request.path = prefix + std::to_string(number);
     request.host = "h";
     request.requestId = "r" + std::to_string(number);
     this->sentAt[number] = this->now;
+    if (prefix == plain) {
+        this->plainQueries.insert(number);
+    }
     this->apply(instance,
                 RequestArrived {ExchangeId(number),
                                 std::make_shared<const ForwardedRequest>(std::move(request)),
@@ -117,7 +165,7 @@
     return number;
 }
 
-void GatewayFleet::sendQueries(double perSecond, Duration duration)
+void GatewayFleet::sendQueries(double perSecond, Duration duration, const std::string &prefix)
 {
     std::exponential_distribution<double> gap(perSecond);
     std::uniform_int_distribution<std::size_t> anyInstance(0, this->nodes.size() - 1);
@@ -133,7 +181,7 @@
         while (this->dead.contains(instance) || this->nodes[instance].pausedUntil > at) {
             instance = anyInstance(this->random);
         }
-        this->schedule(at, [this, instance] { this->sendQuery(instance); });
+        this->schedule(at, [this, instance, prefix] { this->sendQuery(instance, prefix); });
     }
     this->run(duration);
 }
@@ -164,7 +212,7 @@
     Node &node = this->nodes[instance];
     const Instant startAt = std::max(node.busyUntil, node.pausedUntil);
     if (startAt > this->now) {
-        this->schedule(startAt, [this, instance, event] { this->apply(instance, event); });
+        this->applyAt(startAt, instance, event);
         return;
     }
     const auto cost = std::chrono::duration_cast<Duration>(this->plan.processorTime / node.share);
@@ -182,6 +230,25 @@
     }
 }
 
+void GatewayFleet::recordArrival(std::size_t instance, const TargetId &id)
+{
+    const Target &target = this->targets.at(id);
+    if (target.limit) {
+        const auto told = target.toldAt.find(instance);
+        this->limitedArrivals[id].push_back(
+                {this->now, told != target.toldAt.end() && told->second + toldDelay <= this->now});
+    }
+}
+
+void GatewayFleet::applyAt(Instant at, std::size_t instance, const GatewayEvent &event)
+{
+    this->schedule(at, [this, instance, event, run = this->nodes[instance].run] {
+        if (this->nodes[instance].run == run) {
+            this->apply(instance, event);
+        }
+    });
+}
+
 void GatewayFleet::startAttempt(std::size_t instance, const StartAttempt &effect)
 {
     const Node &node = this->nodes[instance];
@@ -202,6 +269,8 @@
     }
     Instant endAt = startAt + std::chrono::duration_cast<Duration>(this->plan.workTime * factor);
     usedAt = endAt;
+    this->schedule(startAt,
+                   [this, instance, id = effect.target] { this->recordArrival(instance, id); });
     if (this->plan.pauseLength > Duration(0)) {
         const Duration inPeriod =
                 (endAt.time_since_epoch() + target.pauseOffset) % this->plan.pausePeriod;
@@ -210,14 +279,21 @@
         }
     }
     const AttemptId attempt = effect.attempt;
-    this->schedule(endAt + delay, [this, instance, attempt] {
-        if (this->closedAttempts.erase({instance, attempt.value}) > 0) {
+    const std::uint32_t run = node.run;
+    this->schedule(endAt + delay, [this, instance, run, attempt, id = effect.target] {
+        if (this->nodes[instance].run != run
+            || this->closedAttempts.erase({instance, attempt.value}) > 0) {
             return;
         }
+        Target &replying = this->targets.at(id);
         auto reply = std::make_shared<ForwardedReply>();
         reply->kind = ReplyClass::Success;
         reply->status = 200;
         reply->signature = "s";
+        reply->requestLimit = replying.limit;
+        if (replying.limit) {
+            replying.toldAt.try_emplace(instance, this->now);
+        }
         this->apply(instance, AttemptReplied {attempt, std::move(reply)});
     });
 }
@@ -235,10 +311,7 @@
     } else if (std::holds_alternative<GrantLease>(effect.call)) {
         answer.lease = instance + 1;
     }
-    this->schedule(this->now + wait,
-                   [this, instance, operation = effect.operation, body = std::move(answer)] {
-                       this->apply(instance, StoreAnswered {operation, body});
-                   });
+    this->applyAt(this->now + wait, instance, StoreAnswered {effect.operation, std::move(answer)});
 }
 
 void GatewayFleet::execute(std::size_t instance, const GatewayEffect &effect)
@@ -250,7 +323,8 @@
         this->closedAttempts.insert({instance, close->attempt.value});
     } else if (const auto *answer = std::get_if<AnswerExchange>(&effect)) {
         const std::uint64_t number = answer->exchange.value;
-        this->answers[number] = {answer->reply.status, answer->reply.partsMissing,
+        this->answers[number] = {answer->reply.status, this->plainQueries.contains(number),
+                                 answer->reply.partsMissing,
                                  this->nodes[instance].busyUntil - this->sentAt.at(number)};
     } else if (const auto *call = std::get_if<CallStore>(&effect)) {
         this->answerStore(instance, *call);
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -24,6 +25,8 @@
     std::size_t domains = 5;
     std::size_t replicaDomains = 3;
     std::size_t shards = 42;
+    /// The targets of a group that serves the plain route, one request at one target.
+    std::size_t plainTargets = 0;
     /// The processor share of one in ten instances of a domain, and of the others.
     double largeShare = 0.5;
     double smallShare = 0.12;
@@ -51,10 +54,19 @@
     std::uint64_t seed = 1;
 };
 
+/// A request that reached a target.
+struct FleetArrival
+{
+    Instant at {};
+    /// Whether the sender had received a reply with the target's limit half a second earlier.
+    bool wasTold = false;
+};
+
 /// What the caller of one query saw.
 struct FleetAnswer
 {
     int status = 0;
+    bool isPlain = false;
     std::size_t missing = 0;
     Duration elapsed {};
 };
@@ -66,11 +78,20 @@
     explicit GatewayFleet(const FleetPlan &plan);
 
     /// Sends queries at random running instances for a while, `perSecond` in the whole fleet.
-    void sendQueries(double perSecond, Duration duration);
+    void sendQueries(double perSecond, Duration duration, const std::string &prefix = gathered);
     /// Sends one query to an instance. Returns its number.
-    std::uint64_t sendQuery(std::size_t instance);
+    std::uint64_t sendQuery(std::size_t instance, const std::string &prefix = gathered);
     void run(Duration duration);
 
+    /// The prefixes of the routes.
+    static constexpr const char *gathered = "/g/";
+    static constexpr const char *urgent = "/u/";
+    static constexpr const char *plain = "/p/";
+
+    /// From now on the target's replies state this limit, or none.
+    void setLimit(const std::string &target, std::optional<double> perSecond);
+    /// Replaces an instance by a new process that knows nothing.
+    void restart(std::size_t instance);
     /// From now on the instance neither receives nor sends anything.
     void kill(std::size_t instance) { this->dead.insert(instance); }
     /// From now on no message of the instance reaches another member.
@@ -90,6 +111,8 @@
     std::uint64_t remoteAttempts = 0;
     /// How many attempts of one query started at targets of one shard, by query and shard.
     std::map<std::pair<std::string, std::string>, std::uint32_t> runs;
+    /// The requests that reached each limited target while it had a limit.
+    std::map<TargetId, std::vector<FleetArrival>> limitedArrivals;
     /// When each instance started an attempt last.
     std::vector<Instant> lastAttemptAt;
     Instant now {std::chrono::seconds(100)};
@@ -104,12 +127,17 @@
         Instant pausedUntil {};
         /// The earliest timer that is scheduled.
         Instant timerAt = Instant::max();
+        /// Increases with each restart.
+        std::uint32_t run = 0;
     };
     struct Target
     {
         TargetRecord record;
         Duration pauseOffset {};
         double slowness = 1.0;
+        std::optional<double> limit;
+        /// When each instance received a reply with the limit first.
+        std::map<std::size_t, Instant> toldAt;
     };
     struct Step
     {
@@ -128,8 +156,12 @@
     void deliver(std::size_t from, const std::string &address,
                  const std::function<GatewayEvent(const std::string &sender)> &event);
     void apply(std::size_t instance, const GatewayEvent &event);
+    /// Applies an event later, unless the instance is restarted until then.
+    void applyAt(Instant at, std::size_t instance, const GatewayEvent &event);
     void execute(std::size_t instance, const GatewayEffect &effect);
     void startAttempt(std::size_t instance, const StartAttempt &effect);
+    void recordArrival(std::size_t instance, const TargetId &target);
+    GatewaySettings settingsFor(std::size_t instance) const;
     void answerStore(std::size_t instance, const CallStore &effect);
     Duration delayBetween(const FailureDomain &first, const FailureDomain &second) const;
     std::string addressOf(std::size_t instance) const;
@@ -144,6 +176,7 @@
     std::set<std::size_t> dead;
     std::set<std::size_t> silenced;
     std::map<std::uint64_t, Instant> sentAt;
+    std::set<std::uint64_t> plainQueries;
     std::set<std::pair<std::size_t, std::uint64_t>> closedAttempts;
     /// When an instance's connection to a target was used last.
     std::map<std::pair<std::size_t, TargetId>, Instant> connectionUsedAt;
