--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -19,9 +19,9 @@
 /// The fraction of the budget that hedges leave to retries after failures.
 constexpr double hedgeReservedFraction = 0.1;
 
-ChoiceTerms termsFor(const Exchange &exchange, const Part &part, bool allowAvoided)
+ChoiceTerms termsFor(const Exchange &exchange, const Part &part, bool isOptional)
 {
-    return {part.triedTargets, *exchange.latency, allowAvoided, {exchange.urgencyRank, false}};
+    return {part.triedTargets, *exchange.latency, !isOptional, {exchange.urgencyRank, isOptional}};
 }
 
 /// Returns true if the part may have one more attempt, parallel to the one that is running. This
@@ -47,9 +47,9 @@
                          GatewayContext &context)
 {
     Part &part = exchange.parts[index];
-    const bool allowAvoided = !this->isDispensable(exchange, part);
+    const bool isOptional = this->isDispensable(exchange, part);
     const TargetChoice choice = this->targets.choose(
-            *part.group, termsFor(exchange, part, allowAvoided), context.now, context.random);
+            *part.group, termsFor(exchange, part, isOptional), context.now, context.random);
     if (choice.target != nullptr) {
         this->sendTo(exchange, index, *choice.target, kind, context);
     } else if (choice.problem == ChoiceProblem::Busy) {
@@ -150,10 +150,8 @@
     if (!canHedge(exchange, part)) {
         return;
     }
-    ChoiceTerms terms = termsFor(exchange, part, false);
-    terms.limitUse.isExtra = true;
-    const TargetChoice choice =
-            this->targets.choose(*part.group, terms, context.now, context.random);
+    const TargetChoice choice = this->targets.choose(*part.group, termsFor(exchange, part, true),
+                                                     context.now, context.random);
     // A hedge only helps if it runs at once. Queued behind other requests, it only adds load.
     if (choice.target == nullptr || choice.target->inFlight >= choice.target->record.slots) {
         return;
@@ -249,7 +247,7 @@
             continue;
         }
         Part &part = exchange->parts[next.part];
-        const TargetChoice choice = this->targets.choose(group, termsFor(*exchange, part, true),
+        const TargetChoice choice = this->targets.choose(group, termsFor(*exchange, part, false),
                                                          context.now, context.random);
         if (choice.target == nullptr) {
             return;
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// The tokens that a second attempt beside a running one leaves to first attempts.
-constexpr double reserveForFirst = 1.0;
+/// The tokens that a request that can be left out leaves to the others.
+constexpr double reserveForNeeded = 1.0;
 
 /// Returns the tokens that a request must leave to more urgent ones.
 double reserveFor(const LimitUse &use, double capacity)
@@ -20,7 +20,7 @@
     const double rest = std::max(capacity - 1.0, 0.0);
     const double rank = use.urgencyRank;
     const double forUrgent = std::min(rest, std::max(rank, rest * rank / (rank + 1.0)));
-    return use.isExtra ? std::max(forUrgent, reserveForFirst) : forUrgent;
+    return use.isOptional ? std::max(forUrgent, std::min(rest, reserveForNeeded)) : forUrgent;
 }
 
 std::string rateText(double perSecond)
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -19,8 +19,9 @@
 {
     /// How many more urgent priorities share the target.
     std::uint32_t urgencyRank = 0;
-    /// Whether the request is a second attempt beside a running one.
-    bool isExtra = false;
+    /// Whether the request can be left out: a second attempt beside a running one, or a part that
+    /// the answer can do without.
+    bool isOptional = false;
 };
 
 /// Counts of the attempts at limited targets, by cause, since the process started.
