--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -87,6 +87,9 @@
             if (auto crash = readCrashReport(*received->message)) {
                 this->pendingEvents.push_back(std::move(*crash));
             }
+            if (auto limits = readLimitReport(*received->message)) {
+                this->pendingEvents.push_back(std::move(*limits));
+            }
             if (auto delegation = readDelegationMessage(*received->message)) {
                 this->pendingEvents.push_back(std::move(*delegation));
             }
@@ -410,6 +413,15 @@
     }
 }
 
+void GatewayNode::execute(ReportLimits &effect)
+{
+    const auto message =
+            writeLimitReport(effect.report, this->settings.id.value, this->settings.peerAddress);
+    for (const std::string &receiver : effect.receivers) {
+        this->peers.send(receiver, message);
+    }
+}
+
 void GatewayNode::execute(SendInquiry &effect)
 {
     this->peers.send(
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -77,6 +77,7 @@
     void execute(RequestBudget &effect);
     void execute(LendBudget &effect);
     void execute(ReportCrash &effect);
+    void execute(ReportLimits &effect);
     void execute(SendInquiry &effect);
     void execute(SendOffer &effect);
     void execute(DelegateQuery &effect);
--- a/drivers/edge/peer_messages.cpp
+++ b/drivers/edge/peer_messages.cpp
@@ -4,6 +4,7 @@
 #include "proto/peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoondeck {
 
@@ -80,6 +81,41 @@
     return message;
 }
 
+std::shared_ptr<const proto::PeerMessage> writeLimitReport(const LimitReport &report,
+                                                           const std::string &sender,
+                                                           const std::string &senderAddress)
+{
+    auto message = createMessage(sender, senderAddress);
+    proto::LimitReport &encoded = *message->mutable_limit_report();
+    encoded.set_origin(report.origin.value);
+    encoded.set_number(report.number);
+    for (const StatedLimit &stated : report.limits) {
+        proto::StatedLimit &row = *encoded.add_limits();
+        row.set_target(stated.target.value);
+        if (stated.perSecond) {
+            row.set_per_second(*stated.perSecond);
+        }
+    }
+    return message;
+}
+
+std::optional<LimitsReported> readLimitReport(const proto::PeerMessage &message)
+{
+    if (!message.has_limit_report()) {
+        return std::nullopt;
+    }
+    const proto::LimitReport &encoded = message.limit_report();
+    LimitsReported event {{InstanceId(encoded.origin()), encoded.number(), {}}};
+    for (const proto::StatedLimit &row : encoded.limits()) {
+        if (!row.has_per_second()) {
+            event.report.limits.push_back({TargetId(row.target()), std::nullopt});
+        } else if (std::isfinite(row.per_second()) && row.per_second() >= 0.0) {
+            event.report.limits.push_back({TargetId(row.target()), row.per_second()});
+        }
+    }
+    return event;
+}
+
 std::optional<BudgetRequested> readBudgetRequest(const proto::PeerMessage &message)
 {
     if (!message.has_budget_ask()) {
--- a/logic/gateway/crash_tracker.cpp
+++ b/logic/gateway/crash_tracker.cpp
@@ -15,9 +15,6 @@
 /// A request without crashes for this long is no longer tracked.
 constexpr Duration suspectLifetime = std::chrono::minutes(30);
 constexpr std::size_t maxSuspects = 4096;
-/// How many crash reports are remembered to detect duplicates. Duplicates arrive within a second,
-/// and few instances observe crashes at the same time.
-constexpr std::size_t maxSeenNumbers = 256;
 
 } // namespace
 
@@ -58,16 +55,4 @@
     }
 }
 
-bool CrashTracker::markSeen(const CrashObservation &observation)
-{
-    if (std::ranges::find(this->seenNumbers, observation.number) != this->seenNumbers.end()) {
-        return false;
-    }
-    this->seenNumbers.push_back(observation.number);
-    if (this->seenNumbers.size() > maxSeenNumbers) {
-        this->seenNumbers.pop_front();
-    }
-    return true;
-}
-
 } // namespace lagoondeck
--- a/logic/gateway/crash_tracker.h
+++ b/logic/gateway/crash_tracker.h
@@ -31,9 +31,6 @@
     void clear(Fingerprint fingerprint) { this->suspects.erase(fingerprint); }
     bool empty() const { return this->suspects.empty(); }
 
-    /// Marks a crash report of a member as seen. Returns true if it was not seen before.
-    bool markSeen(const CrashObservation &observation);
-
 private:
     struct Suspect
     {
@@ -48,8 +45,6 @@
     /// The time of every crash, oldest first. An entry is outdated if its suspect crashed again
     /// later.
     std::deque<std::pair<Instant, Fingerprint>> crashHistory;
-    /// The numbers of the latest crash reports, oldest first.
-    std::deque<std::uint64_t> seenNumbers;
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -211,8 +211,7 @@
 void Gateway::on(const CrashReported &event, GatewayContext &context)
 {
     const CrashObservation &observation = event.observation;
-    if (observation.origin == this->settings.id
-        || !this->forwarder.crashTracker().markSeen(observation)) {
+    if (observation.origin == this->settings.id || !this->seenReports.add(observation.number)) {
         return;
     }
     this->forwarder.onCrash(observation, context);
@@ -233,6 +232,29 @@
     }
 }
 
+void Gateway::on(const LimitsReported &event, GatewayContext &context)
+{
+    const LimitReport &report = event.report;
+    if (report.origin == this->settings.id || !this->seenReports.add(report.number)) {
+        return;
+    }
+    this->targets.onLimitsReported(report, context);
+    std::vector<std::string> receivers = this->storeSync.relayReceivers(report.origin);
+    if (!receivers.empty()) {
+        context.emit(ReportLimits {std::move(receivers), report});
+    }
+}
+
+void Gateway::reportLimits(GatewayContext &context)
+{
+    std::vector<StatedLimit> due = this->targets.limits().takeDueReport(context.now);
+    std::vector<std::string> receivers = this->storeSync.relayReceivers(this->settings.id);
+    if (!due.empty() && !receivers.empty()) {
+        context.emit(ReportLimits {std::move(receivers),
+                                   {this->settings.id, context.random(), std::move(due)}});
+    }
+}
+
 void Gateway::requestBudget(GatewayContext &context)
 {
     if (this->forwarder.loans().hasRequests()) {
@@ -263,6 +285,7 @@
     this->registration.onTimer(context);
     this->delegator.onTimer(context);
     this->forwarder.onTimer(context);
+    this->reportLimits(context);
 }
 
 void Gateway::on(const ProcessPaused &event, GatewayContext &context)
@@ -282,7 +305,8 @@
 Instant Gateway::nextTimer() const
 {
     return std::min({this->storeSync.nextTimer(), this->registration.nextTimer(),
-                     this->delegator.nextTimer(), this->forwarder.nextTimer()});
+                     this->delegator.nextTimer(), this->forwarder.nextTimer(),
+                     this->targets.limits().nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "logic/gateway/query_delegator.h"
 #include "logic/gateway/query_rate.h"
 #include "logic/gateway/registration.h"
+#include "logic/gateway/seen_numbers.h"
 #include "logic/gateway/store_sync.h"
 #include "logic/gateway/target_registry.h"
 
@@ -78,6 +79,7 @@
     void on(const BudgetRequested &event, GatewayContext &context);
     void on(const BudgetLent &event, GatewayContext &context);
     void on(const CrashReported &event, GatewayContext &context);
+    void on(const LimitsReported &event, GatewayContext &context);
     void on(const InquiryReceived &event, GatewayContext &context);
     void on(const OfferReceived &event, GatewayContext &context);
     void on(const QueryDelegated &event, GatewayContext &context);
@@ -97,6 +99,8 @@
     void startReturnedRequests(GatewayContext &context);
     /// Reports requests that may crash targets to other members.
     void reportCrashes(GatewayContext &context);
+    /// Tells other members of limits that targets stated to this instance.
+    void reportLimits(GatewayContext &context);
     /// Requests budget loans for the extra arrivals that the event needed and that this instance's
     /// own budgets don't cover.
     void requestBudget(GatewayContext &context);
@@ -117,6 +121,8 @@
     QueryRate gatheredRate;
     CoordinatorRanking coordinatorRanking;
     Instant rankedAt {};
+    /// The reports of members that were passed on.
+    SeenNumbers seenReports;
     /// The revision of the members among which the targets' limits are divided.
     std::uint64_t limitMemberRevision = 0;
     /// The revisions of the members, targets and configuration that the ranking is computed from.
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -89,6 +89,14 @@
     CrashObservation observation;
 };
 
+/// Reports limits that targets state to some members. The message may be lost.
+struct ReportLimits
+{
+    /// Peer addresses.
+    std::vector<std::string> receivers;
+    LimitReport report;
+};
+
 /// Asks a member whether it would coordinate a query. The message may be lost.
 struct SendInquiry
 {
@@ -139,7 +147,7 @@
 
 using GatewayEffect = std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore,
                                    DropIdleConnections, SendStoreUpdate, RequestBudget, LendBudget,
-                                   ReportCrash, SendInquiry, SendOffer, DelegateQuery,
+                                   ReportCrash, ReportLimits, SendInquiry, SendOffer, DelegateQuery,
                                    CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -149,6 +149,32 @@
     CrashObservation observation;
 };
 
+/// The limit that a target states for the requests of the whole fleet.
+struct StatedLimit
+{
+    TargetId target;
+    /// Requests per second; empty if the target states no limit any more.
+    std::optional<double> perSecond;
+
+    bool operator==(const StatedLimit &) const = default;
+};
+
+/// What targets stated to one member. Members pass it on.
+struct LimitReport
+{
+    /// The member that heard it from the targets.
+    InstanceId origin;
+    /// A random number that identifies duplicates.
+    std::uint64_t number = 0;
+    std::vector<StatedLimit> limits;
+};
+
+/// A member reports limits that targets state.
+struct LimitsReported
+{
+    LimitReport report;
+};
+
 /// A member asks whether this instance would coordinate a query.
 struct InquiryReceived
 {
@@ -219,8 +245,8 @@
 using GatewayEvent =
         std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
                      AttemptEnded, StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent,
-                     CrashReported, InquiryReceived, OfferReceived, QueryDelegated, ReceiptReceived,
-                     DelegatedAnswerReceived, DelegationCancelled, TimerDue, ProcessPaused,
-                     GatewayStopRequested>;
+                     CrashReported, LimitsReported, InquiryReceived, OfferReceived, QueryDelegated,
+                     ReceiptReceived, DelegatedAnswerReceived, DelegationCancelled, TimerDue,
+                     ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/target_limit.cpp
+++ b/logic/gateway/target_limit.cpp
@@ -9,9 +9,14 @@
 
 namespace {
 
-/// A limit that was not stated again for this long is no longer trusted. Requests that are sent
-/// then find out.
-constexpr Duration limitLifetime = std::chrono::seconds(5);
+/// A limit that was not stated again for this long, and for as long as the target needs for some
+/// requests, is no longer trusted. Requests that are sent then find out.
+constexpr Duration minLifetime = std::chrono::seconds(5);
+constexpr std::chrono::duration<double> lifetimeInRequests = std::chrono::seconds(10);
+/// A member's report is older than a reply that this instance received so shortly before.
+constexpr Duration reportDelay = std::chrono::milliseconds(300);
+/// The other members are told again this often, for those that have started since.
+constexpr Duration reportInterval = std::chrono::seconds(1);
 /// A target that takes fewer requests than this gets them all the same, because only its replies
 /// tell when the limit ends.
 constexpr double minPerSecond = 0.25;
@@ -37,9 +42,26 @@
 
 LimitChange TargetLimit::onStated(std::optional<double> perSecond, Instant now)
 {
+    this->repliedAt = now;
     return this->set(perSecond, now);
 }
 
+LimitChange TargetLimit::onReported(std::optional<double> perSecond, Instant now)
+{
+    return now - this->repliedAt < reportDelay ? LimitChange::None : this->set(perSecond, now);
+}
+
+bool TargetLimit::needsReport(Instant now) const
+{
+    return this->limit != this->toldLimit || (this->limit && now - this->toldAt >= reportInterval);
+}
+
+void TargetLimit::onTold(std::optional<double> perSecond, Instant now)
+{
+    this->toldLimit = perSecond;
+    this->toldAt = now;
+}
+
 void TargetLimit::divide(const std::vector<MemberRecord> &candidates, const TargetId &target,
                          const InstanceId &self, std::uint64_t revision, Instant now)
 {
@@ -57,7 +79,12 @@
 
 std::optional<double> TargetLimit::perSecond(Instant now) const
 {
-    return this->limit && now - this->confirmedAt < limitLifetime ? this->limit : std::nullopt;
+    if (!this->limit) {
+        return std::nullopt;
+    }
+    const auto lifetime = std::max<std::chrono::duration<double>>(
+            minLifetime, lifetimeInRequests / std::max(*this->limit, minPerSecond));
+    return now - this->confirmedAt < lifetime ? this->limit : std::nullopt;
 }
 
 } // namespace lagoondeck
--- a/logic/gateway/target_limit.h
+++ b/logic/gateway/target_limit.h
@@ -30,6 +30,12 @@
 
     /// Called for each reply of the target. `perSecond` is empty if the reply states no limit.
     LimitChange onStated(std::optional<double> perSecond, Instant now);
+    /// Called when a member reports what the target stated to it or to another member.
+    LimitChange onReported(std::optional<double> perSecond, Instant now);
+    /// Returns true if the other members should be told what the target states.
+    bool needsReport(Instant now) const;
+    /// Called when this instance or a member tells the others what the target states.
+    void onTold(std::optional<double> perSecond, Instant now);
     /// Returns the limit of the whole fleet in requests per second, or nothing if there is none.
     std::optional<double> perSecond(Instant now) const;
     /// Returns when the present limit began.
@@ -55,6 +61,11 @@
     Instant begun {};
     /// When the limit was stated last.
     Instant confirmedAt {};
+    /// When the target replied to this instance last.
+    Instant repliedAt {};
+    /// What the other members were told last, and when.
+    std::optional<double> toldLimit;
+    Instant toldAt {};
     std::uint64_t dividedRevision = 0;
     std::optional<double> dividedLimit;
 };
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -68,6 +68,33 @@
     }
     TargetLimit &limit = this->limits.try_emplace(target, isGathered).first->second;
     logChange(target, limit, limit.onStated(perSecond, context.now), context);
+    if (limit.needsReport(context.now)) {
+        this->reports.add(target, perSecond, context.now, context.random);
+    }
+}
+
+void TargetLimits::onReported(const StatedLimit &stated, bool isGathered, GatewayContext &context)
+{
+    if (!stated.perSecond && !this->limits.contains(stated.target)) {
+        return;
+    }
+    TargetLimit &limit = this->limits.try_emplace(stated.target, isGathered).first->second;
+    logChange(stated.target, limit, limit.onReported(stated.perSecond, context.now), context);
+    limit.onTold(stated.perSecond, context.now);
+    if (!limit.needsReport(context.now)) {
+        this->reports.cancel(stated.target);
+    }
+}
+
+std::vector<StatedLimit> TargetLimits::takeDueReport(Instant now)
+{
+    std::vector<StatedLimit> due = this->reports.takeDue(now);
+    for (const StatedLimit &stated : due) {
+        if (const auto found = this->limits.find(stated.target); found != this->limits.end()) {
+            found->second.onTold(stated.perSecond, now);
+        }
+    }
+    return due;
 }
 
 TargetLimit *TargetLimits::find(const TargetId &target, Instant now)
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -4,6 +4,7 @@
 #include "core/store_change.h"
 #include "logic/gateway/exchange_trace.h"
 #include "logic/gateway/gateway_effects.h"
+#include "logic/gateway/limit_reports.h"
 #include "logic/gateway/target_limit.h"
 
 #include <cstddef>
@@ -39,6 +40,9 @@
 ///
 /// Each limit is divided equally among the members, or among the coordinators if the target serves
 /// gathered requests in a fleet with coordinators, because these send nearly all of its requests.
+///
+/// An instance that hears of a limit tells the other members, because each of them may meet the
+/// target rarely, or may have started just now.
 class TargetLimits
 {
 public:
@@ -51,6 +55,12 @@
     /// `isGathered` is true if the target serves gathered requests.
     void onStated(const TargetId &target, bool isGathered, std::optional<double> perSecond,
                   GatewayContext &context);
+    /// Called when a member reports what a target stated to it or to another member.
+    void onReported(const StatedLimit &stated, bool isGathered, GatewayContext &context);
+    /// Returns the limits of which the other members must be told now.
+    std::vector<StatedLimit> takeDueReport(Instant now);
+    /// Returns when takeDueReport() must be called next.
+    Instant nextTimer() const { return this->reports.nextTimer(); }
     /// Drops what is known of a target that is gone.
     void forget(const TargetId &target) { this->limits.erase(target); }
 
@@ -79,6 +89,7 @@
     /// Increases whenever the members or coordinators change.
     std::uint64_t memberRevision = 1;
     std::unordered_map<TargetId, TargetLimit> limits;
+    LimitReports reports;
     LimitCounts limitCounts;
 };
 
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -225,6 +225,16 @@
     return cost;
 }
 
+void TargetRegistry::onLimitsReported(const LimitReport &report, GatewayContext &context)
+{
+    for (const StatedLimit &stated : report.limits) {
+        if (const auto found = this->targets.find(stated.target); found != this->targets.end()) {
+            const TargetGroup &group = this->group(found->second->record.group);
+            this->targetLimits.onReported(stated, group.isGathered, context);
+        }
+    }
+}
+
 ChoiceProblem TargetRegistry::limitProblem(TargetGroup &group, const LimitUse &use, Instant now)
 {
     ChoiceProblem problem = ChoiceProblem::NoTarget;
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -96,6 +96,8 @@
     /// there is none and the terms allow it, chooses the one whose avoidance ends first.
     TargetChoice choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
                         RandomEngine &random);
+    /// Called when a member reports limits that targets state.
+    void onLimitsReported(const LimitReport &report, GatewayContext &context);
     /// Returns the problem if no usable replica may get a request now because of limits, or if
     /// there is none. Does not check connections or failures.
     ChoiceProblem limitProblem(TargetGroup &group, const LimitUse &use, Instant now);
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -4,6 +4,7 @@
 #include "proto/peer.pb.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace lagoondeck;
 
@@ -60,3 +61,26 @@
     CHECK(read->update.origin == InstanceId("first"));
     CHECK(read->update.toRevision == 5);
 }
+
+TEST_CASE("a report of limits is decoded to the values that were encoded")
+{
+    const LimitReport report {InstanceId("b"), 99, {{TargetId("t1"), 33.1}, {TargetId("t2"), {}}}};
+    const auto decoded = readLimitReport(*writeLimitReport(report, "a", "127.0.0.1:1"));
+    REQUIRE(decoded);
+    CHECK(decoded->report.origin == InstanceId("b"));
+    CHECK(decoded->report.number == 99);
+    CHECK(decoded->report.limits == report.limits);
+}
+
+TEST_CASE("limits that are no rates are left out of a report")
+{
+    const LimitReport report {InstanceId("b"),
+                              1,
+                              {{TargetId("t1"), -1.0},
+                               {TargetId("t2"), std::numeric_limits<double>::infinity()},
+                               {TargetId("t3"), std::numeric_limits<double>::quiet_NaN()},
+                               {TargetId("t4"), 0.0}}};
+    const auto decoded = readLimitReport(*writeLimitReport(report, "a", "127.0.0.1:1"));
+    REQUIRE(decoded);
+    CHECK(decoded->report.limits == std::vector<StatedLimit> {{TargetId("t4"), 0.0}});
+}
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -176,7 +176,8 @@
             break;
         }
         std::size_t instance = anyInstance(this->random);
-        while (this->dead.contains(instance) || this->nodes[instance].pausedUntil > at) {
+        while (this->dead.contains(instance) || this->excluded.contains(instance)
+               || this->nodes[instance].pausedUntil > at) {
             instance = anyInstance(this->random);
         }
         this->schedule(at, [this, instance, prefix] { this->sendQuery(instance, prefix); });
@@ -184,6 +185,15 @@
     this->run(duration);
 }
 
+void GatewayFleet::sendQueriesExcept(std::size_t instance, double perSecond, Duration duration)
+{
+    const bool wasExcluded = !this->excluded.insert(instance).second;
+    this->sendQueries(perSecond, duration);
+    if (!wasExcluded) {
+        this->excluded.erase(instance);
+    }
+}
+
 Duration GatewayFleet::delayBetween(const FailureDomain &first, const FailureDomain &second) const
 {
     return first == second ? this->plan.sameDomainDelay : this->plan.crossDomainDelay;
@@ -337,6 +347,11 @@
         });
     } else if (const auto *loan = std::get_if<LendBudget>(&effect)) {
         this->deliver(instance, loan->receiver, [&](const std::string &) { return loan->loan; });
+    } else if (const auto *limits = std::get_if<ReportLimits>(&effect)) {
+        for (const std::string &receiver : limits->receivers) {
+            this->deliver(instance, receiver,
+                          [&](const std::string &) { return LimitsReported {limits->report}; });
+        }
     } else if (const auto *inquiry = std::get_if<SendInquiry>(&effect)) {
         this->deliver(instance, inquiry->receiver, [&](const std::string &sender) {
             return InquiryReceived {self, sender, inquiry->inquiry};
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -78,6 +78,8 @@
 
     /// Sends queries at random running instances for a while, `perSecond` in the whole fleet.
     void sendQueries(double perSecond, Duration duration, const std::string &prefix = gathered);
+    /// Sends gathered queries at all instances but one.
+    void sendQueriesExcept(std::size_t instance, double perSecond, Duration duration);
     /// Sends one query to an instance. Returns its number.
     std::uint64_t sendQuery(std::size_t instance, const std::string &prefix = gathered);
     void run(Duration duration);
@@ -175,6 +177,8 @@
     std::unordered_map<TargetId, Target> targets;
     std::vector<StoreChange> storeState;
     std::set<std::size_t> dead;
+    /// Instances that get no queries from callers.
+    std::set<std::size_t> excluded;
     std::set<std::size_t> silenced;
     std::map<std::uint64_t, Instant> sentAt;
     std::map<std::uint64_t, std::string> prefixes;
--- a/tests/logic/gateway/test_target_limits.cpp
+++ b/tests/logic/gateway/test_target_limits.cpp
@@ -32,23 +32,42 @@
     return plan;
 }
 
+/// Returns the largest number of the times that lie in one window.
+std::size_t maxInWindow(const std::vector<Instant> &times)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 /// Returns the largest number of requests that told instances sent to the target in a window.
 std::size_t maxToldArrivals(const GatewayFleet &fleet, const std::string &target)
 {
-    std::vector<Instant> told;
+    std::vector<Instant> times;
     for (const FleetArrival &arrival : fleet.limitedArrivals.at(TargetId(target))) {
         if (arrival.wasTold) {
-            told.push_back(arrival.at);
+            times.push_back(arrival.at);
         }
     }
-    std::size_t most = 0;
-    for (std::size_t first = 0, last = 0; last < told.size(); ++last) {
-        while (told[last] - told[first] >= window) {
-            ++first;
+    return maxInWindow(times);
+}
+
+/// Returns the largest number of requests that all instances sent to the target in a window since
+/// a time.
+std::size_t maxArrivals(const GatewayFleet &fleet, const std::string &target, Instant since)
+{
+    std::vector<Instant> times;
+    for (const FleetArrival &arrival : fleet.limitedArrivals.at(TargetId(target))) {
+        if (arrival.at >= since) {
+            times.push_back(arrival.at);
         }
-        most = std::max(most, last - first + 1);
     }
-    return most;
+    return maxInWindow(times);
 }
 
 double allowedArrivals(double perSecond)
@@ -56,6 +75,26 @@
     return limitTolerance * perSecond * std::chrono::duration<double>(window).count() + limitSlack;
 }
 
+/// A fleet in which each instance meets each target of the plain group rarely.
+FleetPlan sparseFleet()
+{
+    FleetPlan plan;
+    plan.instances = 77;
+    plan.shards = 3;
+    plan.plainTargets = 15;
+    plan.pauseLength = Duration(0);
+    plan.workTime = milliseconds(90);
+    plan.objective = milliseconds(400);
+    return plan;
+}
+
+void limitPlainTargets(GatewayFleet &fleet, std::optional<double> perSecond)
+{
+    for (int i = 0; i < 15; ++i) {
+        fleet.setLimit("p" + std::to_string(i), perSecond);
+    }
+}
+
 /// Returns the requests that reached the target since a time, per second.
 double arrivalsPerSecond(const GatewayFleet &fleet, const std::string &target, Instant since)
 {
@@ -223,6 +262,33 @@
     }
 }
 
+// Guards against a limit that only those instances keep that have met the target themselves.
+TEST_CASE("many instances that meet a target rarely keep to its limit together")
+{
+    GatewayFleet fleet(sparseFleet());
+    fleet.sendQueries(24.0, seconds(5), GatewayFleet::plain);
+    limitPlainTargets(fleet, 0.8);
+    fleet.sendQueries(24.0, seconds(3), GatewayFleet::plain);
+    const Instant since = fleet.now;
+    fleet.sendQueries(24.0, seconds(30), GatewayFleet::plain);
+    for (int i = 0; i < 15; ++i) {
+        CHECK(static_cast<double>(maxArrivals(fleet, "p" + std::to_string(i), since))
+              <= allowedArrivals(0.8));
+    }
+}
+
+// Guards against a process that sends as before until each limited target has refused it.
+TEST_CASE("a restarted instance hears of a limit from the other members")
+{
+    GatewayFleet fleet(smallFleet());
+    fleet.sendQueries(160.0, seconds(2));
+    fleet.setLimit("t0-0", 33.0);
+    fleet.sendQueries(160.0, seconds(2));
+    fleet.restart(3);
+    fleet.sendQueriesExcept(3, 160.0, milliseconds(1500));
+    CHECK(fleet.gateway(3).status(fleet.now).limitedTargets == 1);
+}
+
 namespace {
 
 /// A gateway with one target that serves two routes of different priority.
--- a/tests/operator/test_explain.cpp
+++ b/tests/operator/test_explain.cpp
@@ -51,8 +51,9 @@
 
 TEST_CASE("each reason has a description of its cause")
 {
-    for (const char *reason : {"no-configuration", "no-route", "no-target", "target-failed",
-                               "targets-failed", "deadline-passed", "caller-left"}) {
+    for (const char *reason :
+         {"no-configuration", "no-route", "no-target", "target-failed", "targets-limited",
+          "read-late", "targets-failed", "deadline-passed", "caller-left"}) {
         CHECK(describeCause({{"reason", reason}}) != "nothing went wrong");
     }
     CHECK(describeCause({{"reason", "complete"}, {"outcome", "late"}, {"objectiveMs", 60}})
