--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -86,6 +86,9 @@
     writeCounter(writer, "lagoondeck_limited_parts_withheld_total",
                  "Parts that were given up because the limits of all replicas left no request.",
                  status.limitedAttempts.withheld);
+    writeCounter(writer, "lagoondeck_limit_requests_borrowed_total",
+                 "Requests at limited targets that other members lent.",
+                 status.limitedAttempts.borrowed);
     writeGauge(writer, "lagoondeck_coordinator",
                "1 when the instance is one of the fleet's coordinators.",
                status.isCoordinator ? 1 : 0);
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -90,6 +90,12 @@
             if (auto limits = readLimitReport(*received->message)) {
                 this->pendingEvents.push_back(std::move(*limits));
             }
+            if (auto request = readLimitRequest(*received->message)) {
+                this->pendingEvents.push_back(std::move(*request));
+            }
+            if (auto loan = readLimitLoan(*received->message)) {
+                this->pendingEvents.push_back(std::move(*loan));
+            }
             if (auto delegation = readDelegationMessage(*received->message)) {
                 this->pendingEvents.push_back(std::move(*delegation));
             }
@@ -422,6 +428,19 @@
     }
 }
 
+void GatewayNode::execute(RequestLimit &effect)
+{
+    this->peers.send(
+            effect.receiver,
+            writeLimitRequest(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
+void GatewayNode::execute(LendLimit &effect)
+{
+    this->peers.send(effect.receiver,
+                     writeLimitLoan(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
 void GatewayNode::execute(SendInquiry &effect)
 {
     this->peers.send(
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -78,6 +78,8 @@
     void execute(LendBudget &effect);
     void execute(ReportCrash &effect);
     void execute(ReportLimits &effect);
+    void execute(RequestLimit &effect);
+    void execute(LendLimit &effect);
     void execute(SendInquiry &effect);
     void execute(SendOffer &effect);
     void execute(DelegateQuery &effect);
--- a/drivers/edge/peer_messages.cpp
+++ b/drivers/edge/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/peer_messages.h"
 
+#include "logic/gateway/limit_bucket.h"
 #include "logic/gateway/retry_budget.h"
 #include "proto/peer.pb.h"
 
@@ -37,6 +38,11 @@
     }
 }
 
+bool isRate(double value)
+{
+    return std::isfinite(value) && value >= 0.0;
+}
+
 std::shared_ptr<proto::PeerMessage> createMessage(const std::string &sender,
                                                   const std::string &senderAddress)
 {
@@ -109,13 +115,71 @@
     for (const proto::StatedLimit &row : encoded.limits()) {
         if (!row.has_per_second()) {
             event.report.limits.push_back({TargetId(row.target()), std::nullopt});
-        } else if (std::isfinite(row.per_second()) && row.per_second() >= 0.0) {
+        } else if (isRate(row.per_second())) {
             event.report.limits.push_back({TargetId(row.target()), row.per_second()});
         }
     }
     return event;
 }
 
+std::shared_ptr<const proto::PeerMessage> writeLimitRequest(const RequestLimit &request,
+                                                            const std::string &sender,
+                                                            const std::string &senderAddress)
+{
+    auto message = createMessage(sender, senderAddress);
+    message->mutable_limit_ask()->set_number(request.number);
+    for (const LimitWish &wish : request.wishes) {
+        proto::LimitWish &row = *message->mutable_limit_ask()->add_wanted();
+        row.set_target(wish.target.value);
+        row.set_count(wish.count);
+        row.set_per_second(wish.perSecond);
+    }
+    return message;
+}
+
+std::shared_ptr<const proto::PeerMessage>
+writeLimitLoan(const LendLimit &loan, const std::string &sender, const std::string &senderAddress)
+{
+    auto message = createMessage(sender, senderAddress);
+    message->mutable_limit_loan()->set_number(loan.loan.number);
+    message->mutable_limit_loan()->set_valid_us(loan.loan.validFor.count());
+    for (const auto &[target, count] : loan.loan.lent) {
+        proto::LimitGrant &row = *message->mutable_limit_loan()->add_lent();
+        row.set_target(target.value);
+        row.set_count(count);
+    }
+    return message;
+}
+
+std::optional<LimitRequested> readLimitRequest(const proto::PeerMessage &message)
+{
+    if (!message.has_limit_ask()) {
+        return std::nullopt;
+    }
+    LimitRequested event {message.sender_address(), message.limit_ask().number(), {}};
+    for (const proto::LimitWish &row : message.limit_ask().wanted()) {
+        if (isRate(row.per_second())) {
+            event.wishes.push_back({TargetId(row.target()), row.count(), row.per_second()});
+        }
+    }
+    return event;
+}
+
+std::optional<LimitLent> readLimitLoan(const proto::PeerMessage &message)
+{
+    if (!message.has_limit_loan()) {
+        return std::nullopt;
+    }
+    const Duration valid(message.limit_loan().valid_us());
+    LimitLent event {message.limit_loan().number(),
+                     {},
+                     std::clamp(valid, Duration(0), LimitBucket::loanLifetime)};
+    for (const proto::LimitGrant &row : message.limit_loan().lent()) {
+        event.lent[TargetId(row.target())] = row.count();
+    }
+    return event;
+}
+
 std::optional<BudgetRequested> readBudgetRequest(const proto::PeerMessage &message)
 {
     if (!message.has_budget_ask()) {
--- a/drivers/edge/peer_messages.h
+++ b/drivers/edge/peer_messages.h
@@ -31,6 +31,12 @@
                                                            const std::string &sender,
                                                            const std::string &senderAddress);
 
+std::shared_ptr<const proto::PeerMessage> writeLimitRequest(const RequestLimit &request,
+                                                            const std::string &sender,
+                                                            const std::string &senderAddress);
+std::shared_ptr<const proto::PeerMessage>
+writeLimitLoan(const LendLimit &loan, const std::string &sender, const std::string &senderAddress);
+
 /// Returns std::nullopt if the message has no loan request.
 std::optional<BudgetRequested> readBudgetRequest(const proto::PeerMessage &message);
 /// Returns std::nullopt if the message has no loan.
@@ -40,5 +46,9 @@
 /// Returns std::nullopt if the message has no report of limits. Limits that are no rates are left
 /// out.
 std::optional<LimitsReported> readLimitReport(const proto::PeerMessage &message);
+/// Returns std::nullopt if the message has no request for parts of limits.
+std::optional<LimitRequested> readLimitRequest(const proto::PeerMessage &message);
+/// Returns std::nullopt if the message lends no parts of limits.
+std::optional<LimitLent> readLimitLoan(const proto::PeerMessage &message);
 
 } // namespace lagoondeck
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -46,6 +46,9 @@
     /// Until when the part waits for another member to lend an extra arrival. Instant::min() if no
     /// loan was requested.
     Instant loanDeadline = Instant::min();
+    /// Until when the part waits for another member to lend a request at a limited replica.
+    /// Instant::min() if it does not wait for that.
+    Instant limitLoanDeadline = Instant::min();
     /// When a hedge is considered; Instant::max() for never.
     Instant hedgeAt = Instant::max();
     std::shared_ptr<const ForwardedReply> reply;
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -60,6 +60,10 @@
     /// Called when a member lends extra arrivals. Sends the attempts that waited for them.
     void onLoan(const BudgetLent &event, GatewayContext &context);
 
+    /// Called when a member lends requests at limited targets, or refuses to. Sends the attempts
+    /// that waited for them.
+    void onLimitLent(const LimitLent &event, GatewayContext &context);
+
     /// Returns when onTimer() must be called next.
     Instant nextTimer() const;
     std::size_t exchangesInFlight() const { return this->exchanges.size(); }
@@ -124,6 +128,9 @@
     /// Requests an extra arrival from another member and lets the part wait for it. Each part
     /// requests only one loan.
     void requestBudgetLoan(Exchange &exchange, std::size_t index, GatewayContext &context);
+    /// Borrows a request at a limited replica for a part that the limits leave none, and lets the
+    /// part wait for it if the exchange needs the part. Otherwise the part is given up.
+    void borrowOrWithhold(Exchange &exchange, std::size_t index, GatewayContext &context);
     /// Gives up a part because the limits of its replicas leave no request.
     void withhold(Exchange &exchange, std::size_t index, GatewayContext &context);
     /// Refuses a gathered exchange that can't reach its minimum coverage because of limits. Nothing
@@ -176,6 +183,8 @@
     std::unordered_map<GroupName, std::deque<WaitingPart>> waitingParts;
     /// Parts that wait for a budget loan.
     std::unordered_map<GroupName, std::deque<WaitingPart>> partsAwaitingLoan;
+    /// Parts that wait for a loan of requests at limited targets.
+    std::unordered_map<GroupName, std::vector<WaitingPart>> partsAwaitingLimit;
     BudgetLoans budgetLoans;
     CrashTracker trackedCrashes;
     std::vector<CrashObservation> newCrashes;
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -194,6 +194,13 @@
                 this->hedge(exchange, i, context);
             }
             next = std::min(next, part.hedgeAt);
+        } else if (part.phase == PartPhase::Waiting && part.limitLoanDeadline != Instant::min()) {
+            if (context.now >= part.limitLoanDeadline) {
+                this->withhold(exchange, i, context);
+                partAbandoned = true;
+            } else {
+                next = std::min(next, part.limitLoanDeadline);
+            }
         } else if (part.phase == PartPhase::Waiting && part.loanDeadline != Instant::min()) {
             if (context.now >= part.loanDeadline) {
                 part.phase = PartPhase::Abandoned;
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -54,10 +54,11 @@
         this->sendTo(exchange, index, *choice.target, kind, context);
     } else if (choice.problem == ChoiceProblem::Busy) {
         part.phase = PartPhase::Waiting;
+        part.limitLoanDeadline = Instant::min();
         exchange.recordStep(TraceKind::Wait, index, {}, context.now);
         this->waitingParts[part.group->name].push_back({exchange.id, index});
     } else if (choice.problem == ChoiceProblem::Limited) {
-        this->withhold(exchange, index, context);
+        this->borrowOrWithhold(exchange, index, context);
     } else {
         part.phase = PartPhase::Abandoned;
         exchange.recordStep(choice.problem == ChoiceProblem::Avoided ? TraceKind::Avoided
@@ -66,6 +67,51 @@
     }
 }
 
+void Forwarder::borrowOrWithhold(Exchange &exchange, std::size_t index, GatewayContext &context)
+{
+    Part &part = exchange.parts[index];
+    const bool requested =
+            this->targets.requestLoan(*part.group, part.triedTargets, context.now, context.random);
+    const bool isFirst = part.limitLoanDeadline == Instant::min();
+    const bool hasTime = isFirst || context.now < part.limitLoanDeadline;
+    if (!requested || !hasTime || this->isDispensable(exchange, part)) {
+        this->withhold(exchange, index, context);
+        return;
+    }
+    part.phase = PartPhase::Waiting;
+    if (isFirst) {
+        part.limitLoanDeadline = context.now + loanTimeout;
+    }
+    this->partsAwaitingLimit[part.group->name].push_back({exchange.id, index});
+}
+
+void Forwarder::onLimitLent(const LimitLent &event, GatewayContext &context)
+{
+    if (!this->targets.limits().loans().takeAnswered(event.number)) {
+        return;
+    }
+    this->targets.limits().onLent(event, context.now);
+    for (const auto &[target, count] : event.lent) {
+        const TargetGroup *group = this->targets.groupOf(target);
+        if (group == nullptr) {
+            continue;
+        }
+        for (const WaitingPart &next : std::exchange(this->partsAwaitingLimit[group->name], {})) {
+            Exchange *exchange = this->find(next.exchange);
+            if (exchange == nullptr || this->dropUnpermitted(*exchange, context)) {
+                continue;
+            }
+            Part &part = exchange->parts[next.part];
+            if (part.phase == PartPhase::Waiting && part.limitLoanDeadline != Instant::min()) {
+                this->dispatch(*exchange, next.part,
+                               part.arrivedAttempts > 0 ? TraceKind::Retry : TraceKind::Send,
+                               context);
+                this->advance(next.exchange, context);
+            }
+        }
+    }
+}
+
 void Forwarder::withhold(Exchange &exchange, std::size_t index, GatewayContext &context)
 {
     Part &part = exchange.parts[index];
@@ -93,6 +139,8 @@
     for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
         exchange.parts[i].phase = PartPhase::Abandoned;
         if (problems[i] == ChoiceProblem::Limited) {
+            // Too late for this exchange, but more are likely to come.
+            this->targets.requestLoan(*exchange.parts[i].group, {}, context.now, context.random);
             this->withhold(exchange, i, context);
         }
     }
@@ -134,6 +182,7 @@
     part.runningAttempts.push_back(id);
     part.triedTargets.push_back(target.record.id);
     part.phase = PartPhase::Running;
+    part.limitLoanDeadline = Instant::min();
     ++part.possibleRuns;
     ++part.arrivedAttempts;
     part.hedgeAt = part.runningAttempts.size() == 1 && part.possibleRuns < exchange.route->attempts
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -35,6 +35,7 @@
     std::visit([&](const auto &body) { this->on(body, context); }, event);
     this->startReturnedRequests(context);
     this->requestBudget(context);
+    this->targets.limits().loans().sendRequests(context);
     this->reportCrashes(context);
     return effects;
 }
@@ -245,6 +246,18 @@
     }
 }
 
+void Gateway::on(const LimitRequested &event, GatewayContext &context)
+{
+    context.emit(LendLimit {
+            event.sender,
+            {event.number, this->targets.lendLimits(event, context), LimitBucket::loanLifetime}});
+}
+
+void Gateway::on(const LimitLent &event, GatewayContext &context)
+{
+    this->forwarder.onLimitLent(event, context);
+}
+
 void Gateway::reportLimits(GatewayContext &context)
 {
     std::vector<StatedLimit> due = this->targets.limits().takeDueReport(context.now);
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -80,6 +80,8 @@
     void on(const BudgetLent &event, GatewayContext &context);
     void on(const CrashReported &event, GatewayContext &context);
     void on(const LimitsReported &event, GatewayContext &context);
+    void on(const LimitRequested &event, GatewayContext &context);
+    void on(const LimitLent &event, GatewayContext &context);
     void on(const InquiryReceived &event, GatewayContext &context);
     void on(const OfferReceived &event, GatewayContext &context);
     void on(const QueryDelegated &event, GatewayContext &context);
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -97,6 +97,24 @@
     LimitReport report;
 };
 
+/// Requests parts of limits from a member. The reply may never arrive.
+struct RequestLimit
+{
+    /// Peer address.
+    std::string receiver;
+    /// Identifies the request; the reply contains it.
+    std::uint64_t number = 0;
+    std::vector<LimitWish> wishes;
+};
+
+/// Lends a member parts of this instance's shares of limits. The lent parts count as used here.
+struct LendLimit
+{
+    /// Peer address.
+    std::string receiver;
+    LimitLent loan;
+};
+
 /// Asks a member whether it would coordinate a query. The message may be lost.
 struct SendInquiry
 {
@@ -145,10 +163,11 @@
     DelegatedAnswer answer;
 };
 
-using GatewayEffect = std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore,
-                                   DropIdleConnections, SendStoreUpdate, RequestBudget, LendBudget,
-                                   ReportCrash, ReportLimits, SendInquiry, SendOffer, DelegateQuery,
-                                   CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
+using GatewayEffect =
+        std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore, DropIdleConnections,
+                     SendStoreUpdate, RequestBudget, LendBudget, ReportCrash, ReportLimits,
+                     RequestLimit, LendLimit, SendInquiry, SendOffer, DelegateQuery,
+                     CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
 /// applied.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -175,6 +175,40 @@
     LimitReport report;
 };
 
+/// Requests at a limited target that a member wants to send.
+struct LimitWish
+{
+    TargetId target;
+    std::uint32_t count = 0;
+    /// The limit of the whole fleet as the member knows it, in requests per second.
+    double perSecond = 0.0;
+
+    bool operator==(const LimitWish &) const = default;
+};
+
+/// A member requests a part of this instance's shares of limits.
+struct LimitRequested
+{
+    /// The member's peer address.
+    std::string sender;
+    /// Identifies the request; the reply contains it.
+    std::uint64_t number = 0;
+    std::vector<LimitWish> wishes;
+};
+
+/// How many requests a member leaves to this instance, by target.
+using LimitGrants = std::map<TargetId, std::uint32_t>;
+
+/// A member lends a part of its shares of limits, in reply to a request.
+struct LimitLent
+{
+    /// The number of the request.
+    std::uint64_t number = 0;
+    /// Has an entry for each target of the request.
+    LimitGrants lent;
+    Duration validFor {};
+};
+
 /// A member asks whether this instance would coordinate a query.
 struct InquiryReceived
 {
@@ -245,8 +279,8 @@
 using GatewayEvent =
         std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
                      AttemptEnded, StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent,
-                     CrashReported, LimitsReported, InquiryReceived, OfferReceived, QueryDelegated,
-                     ReceiptReceived, DelegatedAnswerReceived, DelegationCancelled, TimerDue,
-                     ProcessPaused, GatewayStopRequested>;
+                     CrashReported, LimitsReported, LimitRequested, LimitLent, InquiryReceived,
+                     OfferReceived, QueryDelegated, ReceiptReceived, DelegatedAnswerReceived,
+                     DelegationCancelled, TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/target_limit.cpp
+++ b/logic/gateway/target_limit.cpp
@@ -12,7 +12,7 @@
 /// A limit that was not stated again for this long, and for as long as the target needs for some
 /// requests, is no longer trusted. Requests that are sent then find out.
 constexpr Duration minLifetime = std::chrono::seconds(5);
-constexpr std::chrono::duration<double> lifetimeInRequests = std::chrono::seconds(10);
+constexpr double lifetimeInRequests = 6.0;
 /// A member's report is older than a reply that this instance received so shortly before.
 constexpr Duration reportDelay = std::chrono::milliseconds(300);
 /// The other members are told again this often, for those that have started since.
@@ -20,6 +20,11 @@
 /// A target that takes fewer requests than this gets them all the same, because only its replies
 /// tell when the limit ends.
 constexpr double minPerSecond = 0.25;
+/// A target that got a request within this time is likely to get more.
+constexpr Duration usePeriod = std::chrono::seconds(1);
+/// After so many members in a row lent nothing, no other one is asked for a while.
+constexpr std::size_t maxRefusals = 3;
+constexpr Duration refusalPause = std::chrono::milliseconds(200);
 /// While no member is known, the fleet is assumed to have so many instances.
 constexpr double assumedInstances = 8.0;
 
@@ -68,6 +73,7 @@
     this->dividedRevision = revision;
     this->dividedLimit = this->limit;
     const double rate = std::max(this->limit.value_or(0.0), minPerSecond);
+    this->holders.clear();
     if (candidates.empty()) {
         this->bucket.setRate(rate / assumedInstances, now);
         return;
@@ -75,6 +81,34 @@
     const std::vector<MemberRecord> holders = limitHolders(candidates, target, rate);
     const bool isHolder = std::ranges::find(holders, self, &MemberRecord::id) != holders.end();
     this->bucket.setRate(isHolder ? rate / static_cast<double>(holders.size()) : 0.0, now);
+    for (const MemberRecord &holder : holders) {
+        if (holder.id != self) {
+            this->holders.push_back(holder.peerAddress);
+        }
+    }
+}
+
+void TargetLimit::onSent(Instant now)
+{
+    this->sentAt = now;
+    this->bucket.spend(now);
+}
+
+std::uint32_t TargetLimit::lend(std::uint32_t requested, Instant now)
+{
+    const bool isUsed = now - this->sentAt < usePeriod;
+    const double reserve = isUsed ? std::clamp(this->bucket.capacity() - 1.0, 0.0, 1.0) : 0.0;
+    return this->bucket.lend(requested, reserve, now);
+}
+
+void TargetLimit::onLent(std::uint32_t count, Instant until, Instant now)
+{
+    this->bucket.borrow(count, until);
+    this->refusals = count > 0 ? 0 : this->refusals + 1;
+    if (this->refusals >= std::min(maxRefusals, this->holders.size())) {
+        this->refusals = 0;
+        this->loanRefusedUntil = now + refusalPause;
+    }
 }
 
 std::optional<double> TargetLimit::perSecond(Instant now) const
@@ -83,7 +117,9 @@
         return std::nullopt;
     }
     const auto lifetime = std::max<std::chrono::duration<double>>(
-            minLifetime, lifetimeInRequests / std::max(*this->limit, minPerSecond));
+            minLifetime,
+            std::chrono::duration<double>(lifetimeInRequests
+                                          / std::max(*this->limit, minPerSecond)));
     return now - this->confirmedAt < lifetime ? this->limit : std::nullopt;
 }
 
--- a/logic/gateway/target_limit.h
+++ b/logic/gateway/target_limit.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace lagoondeck {
@@ -50,6 +51,17 @@
     {
         return this->dividedRevision != revision || this->dividedLimit != this->limit;
     }
+    /// Returns the peer addresses of the other members among which the limit is divided.
+    const std::vector<std::string> &otherHolders() const { return this->holders; }
+    /// Called when this instance sends a request to the target.
+    void onSent(Instant now);
+    /// Lends requests to another member. Keeps one back while this instance sends some itself.
+    std::uint32_t lend(std::uint32_t requested, Instant now);
+    /// Returns true if a request for a loan has a chance: none was refused just now.
+    bool mayRequestLoan(Instant now) const { return now >= this->loanRefusedUntil; }
+    /// Called when a member lends requests, or refuses to.
+    void onLent(std::uint32_t count, Instant until, Instant now);
+
     /// This instance's share.
     LimitBucket bucket;
 
@@ -66,6 +78,11 @@
     /// What the other members were told last, and when.
     std::optional<double> toldLimit;
     Instant toldAt {};
+    std::vector<std::string> holders;
+    Instant sentAt {};
+    /// How many members in a row lent nothing, and until when no other one is asked.
+    std::size_t refusals = 0;
+    Instant loanRefusedUntil {};
     std::uint64_t dividedRevision = 0;
     std::optional<double> dividedLimit;
 };
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -127,13 +128,45 @@
 void TargetLimits::onSent(const TargetId &target, TraceKind cause, Instant now)
 {
     if (TargetLimit *limit = this->find(target, now)) {
-        limit->bucket.spend(now);
+        limit->onSent(now);
         this->limitCounts.first += cause == TraceKind::Send ? 1 : 0;
         this->limitCounts.hedges += cause == TraceKind::Hedge ? 1 : 0;
         this->limitCounts.retries += cause == TraceKind::Retry ? 1 : 0;
     }
 }
 
+bool TargetLimits::requestLoan(const TargetId &target, Instant now, RandomEngine &random)
+{
+    const TargetLimit *limit = this->find(target, now);
+    if (limit == nullptr || limit->otherHolders().empty() || !limit->mayRequestLoan(now)) {
+        return false;
+    }
+    const std::vector<std::string> &holders = limit->otherHolders();
+    std::uniform_int_distribution<std::size_t> any(0, holders.size() - 1);
+    this->limitLoans.add(holders[any(random)], target, *limit->perSecond(now));
+    return true;
+}
+
+LimitGrants TargetLimits::lend(const std::vector<LimitWish> &wishes, Instant now)
+{
+    LimitGrants lent;
+    for (const LimitWish &wish : wishes) {
+        TargetLimit *limit = this->find(wish.target, now);
+        lent[wish.target] = limit == nullptr ? 0 : limit->lend(wish.count, now);
+    }
+    return lent;
+}
+
+void TargetLimits::onLent(const LimitLent &event, Instant now)
+{
+    for (const auto &[target, count] : event.lent) {
+        if (TargetLimit *limit = this->find(target, now)) {
+            limit->onLent(count, now + event.validFor, now);
+            this->limitCounts.borrowed += count;
+        }
+    }
+}
+
 std::size_t TargetLimits::limitedCount(Instant now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->limits, [now](const auto &entry) {
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -4,6 +4,7 @@
 #include "core/store_change.h"
 #include "logic/gateway/exchange_trace.h"
 #include "logic/gateway/gateway_effects.h"
+#include "logic/gateway/limit_loans.h"
 #include "logic/gateway/limit_reports.h"
 #include "logic/gateway/target_limit.h"
 
@@ -33,6 +34,8 @@
     std::uint64_t retries = 0;
     /// Parts for which no replica's limit left a request.
     std::uint64_t withheld = 0;
+    /// Requests that other members lent.
+    std::uint64_t borrowed = 0;
 };
 
 /// The limits that targets state for the requests of the whole fleet, and this instance's shares of
@@ -41,6 +44,9 @@
 /// Each limit is divided equally among the members, or among the coordinators if the target serves
 /// gathered requests in a fleet with coordinators, because these send nearly all of its requests.
 ///
+/// An instance that has no request left borrows one from a member that holds a share. What is lent
+/// counts as used by the lender, so the sum over the fleet does not grow.
+///
 /// An instance that hears of a limit tells the other members, because each of them may meet the
 /// target rarely, or may have started just now.
 class TargetLimits
@@ -72,6 +78,15 @@
     bool allows(const TargetId &target, const LimitUse &use, Instant now);
     /// Called when an attempt is sent to a target.
     void onSent(const TargetId &target, TraceKind cause, Instant now);
+    /// Requests one request at the target from another member. Returns false if that is useless
+    /// now.
+    bool requestLoan(const TargetId &target, Instant now, RandomEngine &random);
+    /// The requests for loans that are to be sent.
+    LimitLoans &loans() { return this->limitLoans; }
+    /// Lends a member what this instance does not need itself.
+    LimitGrants lend(const std::vector<LimitWish> &wishes, Instant now);
+    /// Called when a member lends requests, or refuses to.
+    void onLent(const LimitLent &event, Instant now);
     /// Called when a part is given up because of limits.
     void onWithheld() { ++this->limitCounts.withheld; }
 
@@ -90,6 +105,7 @@
     std::uint64_t memberRevision = 1;
     std::unordered_map<TargetId, TargetLimit> limits;
     LimitReports reports;
+    LimitLoans limitLoans;
     LimitCounts limitCounts;
 };
 
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <map>
 #include <random>
 #include <set>
@@ -228,13 +229,46 @@
 void TargetRegistry::onLimitsReported(const LimitReport &report, GatewayContext &context)
 {
     for (const StatedLimit &stated : report.limits) {
-        if (const auto found = this->targets.find(stated.target); found != this->targets.end()) {
-            const TargetGroup &group = this->group(found->second->record.group);
-            this->targetLimits.onReported(stated, group.isGathered, context);
+        if (const TargetGroup *group = this->groupOf(stated.target)) {
+            this->targetLimits.onReported(stated, group->isGathered, context);
         }
     }
 }
 
+TargetGroup *TargetRegistry::groupOf(const TargetId &target)
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? nullptr : &this->group(found->second->record.group);
+}
+
+bool TargetRegistry::requestLoan(const TargetGroup &group, std::span<const TargetId> excluded,
+                                 Instant now, RandomEngine &random)
+{
+    std::vector<const TargetNode *> replicas;
+    std::ranges::copy_if(
+            group.targets, std::back_inserter(replicas), [excluded](const TargetNode *target) {
+                return target->usable
+                        && std::ranges::find(excluded, target->record.id) == excluded.end();
+            });
+    std::ranges::shuffle(replicas, random);
+    return std::ranges::any_of(replicas, [&](const TargetNode *target) {
+        return this->targetLimits.requestLoan(target->record.id, now, random);
+    });
+}
+
+LimitGrants TargetRegistry::lendLimits(const LimitRequested &event, GatewayContext &context)
+{
+    // A member may know of a limit that this instance has not heard of yet.
+    for (const LimitWish &wish : event.wishes) {
+        if (const TargetGroup *group = this->groupOf(wish.target);
+            group != nullptr && !this->targetLimits.perSecond(wish.target, context.now)) {
+            this->targetLimits.onReported({wish.target, wish.perSecond}, group->isGathered,
+                                          context);
+        }
+    }
+    return this->targetLimits.lend(event.wishes, context.now);
+}
+
 ChoiceProblem TargetRegistry::limitProblem(TargetGroup &group, const LimitUse &use, Instant now)
 {
     ChoiceProblem problem = ChoiceProblem::NoTarget;
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -98,6 +98,14 @@
                         RandomEngine &random);
     /// Called when a member reports limits that targets state.
     void onLimitsReported(const LimitReport &report, GatewayContext &context);
+    /// Requests one request at a limited replica of the group that is not excluded from another
+    /// member. Returns false if that is useless now.
+    bool requestLoan(const TargetGroup &group, std::span<const TargetId> excluded, Instant now,
+                     RandomEngine &random);
+    /// Lends a member parts of this instance's shares of limits.
+    LimitGrants lendLimits(const LimitRequested &event, GatewayContext &context);
+    /// Returns the target's group, or null if the target is not known.
+    TargetGroup *groupOf(const TargetId &target);
     /// Returns the problem if no usable replica may get a request now because of limits, or if
     /// there is none. Does not check connections or failures.
     ChoiceProblem limitProblem(TargetGroup &group, const LimitUse &use, Instant now);
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/peer_messages.h"
 #include "drivers/edge/peer_store_update.h"
+#include "logic/gateway/limit_bucket.h"
 #include "logic/gateway/retry_budget.h"
 #include "proto/peer.pb.h"
 
@@ -84,3 +85,20 @@
     REQUIRE(decoded);
     CHECK(decoded->report.limits == std::vector<StatedLimit> {{TargetId("t4"), 0.0}});
 }
+
+TEST_CASE("requests for parts of limits and loans are decoded to the values that were encoded")
+{
+    const std::vector<LimitWish> wishes {{TargetId("t1"), 2, 33.1}, {TargetId("t2"), 1, 0.0}};
+    const auto request = readLimitRequest(*writeLimitRequest({"", 7, wishes}, "a", "127.0.0.1:1"));
+    REQUIRE(request);
+    CHECK(request->sender == "127.0.0.1:1");
+    CHECK(request->number == 7);
+    CHECK(request->wishes == wishes);
+    const LimitGrants lent {{TargetId("t1"), 2}, {TargetId("t2"), 0}};
+    const auto loan = readLimitLoan(
+            *writeLimitLoan({"", {7, lent, std::chrono::hours(1)}}, "a", "127.0.0.1:1"));
+    REQUIRE(loan);
+    CHECK(loan->number == 7);
+    CHECK(loan->lent == lent);
+    CHECK(loan->validFor == LimitBucket::loanLifetime);
+}
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -58,6 +58,8 @@
                 this->budgetRequests.push_back(*budgetRequest);
             } else if (auto *crash = std::get_if<ReportCrash>(&effect)) {
                 this->crashReports.push_back(*crash);
+            } else if (auto *limitRequest = std::get_if<RequestLimit>(&effect)) {
+                this->limitRequests.push_back(*limitRequest);
             } else if (auto *loan = std::get_if<LendBudget>(&effect)) {
                 this->grantedLoans.push_back(*loan);
             }
@@ -210,6 +212,7 @@
     std::vector<RequestBudget> budgetRequests;
     std::vector<LendBudget> grantedLoans;
     std::vector<ReportCrash> crashReports;
+    std::vector<RequestLimit> limitRequests;
     std::vector<WriteLog> logs;
     /// The path of the requests that are sent next.
     CallerPath path;
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -352,6 +352,12 @@
             this->deliver(instance, receiver,
                           [&](const std::string &) { return LimitsReported {limits->report}; });
         }
+    } else if (const auto *wish = std::get_if<RequestLimit>(&effect)) {
+        this->deliver(instance, wish->receiver, [&](const std::string &sender) {
+            return LimitRequested {sender, wish->number, wish->wishes};
+        });
+    } else if (const auto *lent = std::get_if<LendLimit>(&effect)) {
+        this->deliver(instance, lent->receiver, [&](const std::string &) { return lent->loan; });
     } else if (const auto *inquiry = std::get_if<SendInquiry>(&effect)) {
         this->deliver(instance, inquiry->receiver, [&](const std::string &sender) {
             return InquiryReceived {self, sender, inquiry->inquiry};
--- a/tests/logic/gateway/test_limit_bucket.cpp
+++ b/tests/logic/gateway/test_limit_bucket.cpp
@@ -89,6 +89,46 @@
     CHECK(bucket.allows(1.0, now));
 }
 
+TEST_CASE("instances that lend and borrow let through no more than their rates together")
+{
+    rc::prop("for any lenders and borrowers", [] {
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        constexpr std::size_t instances = 6;
+        const double rate = std::uniform_real_distribution<double>(0.2, 6.0)(random);
+        std::vector<LimitBucket> buckets(instances);
+        const Instant start {std::chrono::seconds(1)};
+        for (LimitBucket &bucket : buckets) {
+            bucket.setRate(rate, start);
+        }
+        std::uniform_int_distribution<std::size_t> any(0, instances - 1);
+        std::uint32_t sent = 0;
+        for (int ms = 0; ms < 30000; ms += 10) {
+            const Instant now = start + milliseconds(ms);
+            const std::size_t busy = static_cast<std::size_t>(ms / 3000) % instances;
+            const std::size_t lender = any(random);
+            if (lender != busy) {
+                buckets[busy].borrow(buckets[lender].lend(2, 0.0, now),
+                                     now + LimitBucket::loanLifetime);
+            }
+            while (buckets[busy].allows(0.0, now)) {
+                buckets[busy].spend(now);
+                ++sent;
+            }
+            const double allowed = instances * (rate * ms / 1000.0 + std::max(rate, 1.0));
+            RC_ASSERT(sent <= allowed);
+        }
+    });
+}
+
+TEST_CASE("a loan expires")
+{
+    LimitBucket bucket;
+    const Instant now {std::chrono::seconds(1)};
+    bucket.borrow(1, now + LimitBucket::loanLifetime);
+    CHECK(bucket.allows(5.0, now));
+    CHECK_FALSE(bucket.allows(0.0, now + LimitBucket::loanLifetime));
+}
+
 TEST_CASE("a limit is divided among all members if each can send a request now and then")
 {
     CHECK(limitHolders(members(8), TargetId("t"), 33.0).size() == 8);
--- a/tests/logic/gateway/test_target_limits.cpp
+++ b/tests/logic/gateway/test_target_limits.cpp
@@ -289,6 +289,60 @@
     CHECK(fleet.gateway(3).status(fleet.now).limitedTargets == 1);
 }
 
+// Guards against a limit of which most instances have no share.
+TEST_CASE("overload: many instances use all of limits that are too small to divide")
+{
+    GatewayFleet fleet(sparseFleet());
+    fleet.sendQueries(24.0, seconds(5), GatewayFleet::plain);
+    limitPlainTargets(fleet, 0.8);
+    fleet.sendQueries(24.0, seconds(5), GatewayFleet::plain);
+    const Instant since = fleet.now;
+    fleet.sendQueries(24.0, seconds(20), GatewayFleet::plain);
+    double perSecond = 0.0;
+    for (int i = 0; i < 15; ++i) {
+        const std::string target = "p" + std::to_string(i);
+        CHECK(static_cast<double>(maxArrivals(fleet, target, since)) <= allowedArrivals(0.8));
+        perSecond += arrivalsPerSecond(fleet, target, since);
+    }
+    CHECK(perSecond >= 0.85 * 15 * 0.8);
+}
+
+// Guards against shares that lie unused at instances without callers.
+TEST_CASE("uneven callers: an instance with all the load uses the shares of the others")
+{
+    FleetPlan plan = smallFleet();
+    plan.plainTargets = 1;
+    GatewayFleet fleet(plan);
+    fleet.setLimit("p0", 20.0);
+    for (int i = 0; i < 60; ++i) {
+        fleet.sendQuery(0, GatewayFleet::plain);
+        fleet.run(milliseconds(50));
+    }
+    const std::uint64_t first = fleet.queries + 1;
+    for (int i = 0; i < 200; ++i) {
+        fleet.sendQuery(0, GatewayFleet::plain);
+        fleet.run(milliseconds(60));
+    }
+    fleet.run(seconds(2));
+    CHECK(static_cast<double>(maxToldArrivals(fleet, "p0")) <= allowedArrivals(20.0));
+    CHECK(fractionWith(fleet, 200, first) >= 0.9);
+}
+
+TEST_CASE("the end of a limit reaches the instances that don't send to the target")
+{
+    GatewayFleet fleet(sparseFleet());
+    fleet.sendQueries(24.0, seconds(5), GatewayFleet::plain);
+    limitPlainTargets(fleet, 0.8);
+    fleet.sendQueries(24.0, seconds(10), GatewayFleet::plain);
+    limitPlainTargets(fleet, std::nullopt);
+    fleet.sendQueries(24.0, seconds(8), GatewayFleet::plain);
+    std::size_t limited = 0;
+    for (std::size_t i = 0; i < 77; ++i) {
+        limited += fleet.gateway(i).status(fleet.now).limitedTargets;
+    }
+    CHECK(limited == 0);
+}
+
 namespace {
 
 /// A gateway with one target that serves two routes of different priority.
@@ -377,3 +431,52 @@
     harness.answerWatch({GatewayHarness::targetChange(restarted, 1)});
     CHECK(harness.gateway.status(harness.now).limitedTargets == 0);
 }
+
+// Guards against a loan that counts twice because its message arrives twice.
+TEST_CASE("a loan is used once, and only if it was requested")
+{
+    GatewayHarness harness = singleTarget();
+    harness.answerWatch({GatewayHarness::memberChange("a", "127.0.0.1:7000"),
+                         GatewayHarness::memberChange("b", "127.0.0.1:7001")});
+    harness.sendRequest("/urgent/x");
+    replyWithLimit(harness, 2.0);
+    harness.limitRequests.clear();
+    while (harness.limitRequests.empty()) {
+        harness.sendRequest("/urgent/x");
+    }
+    const std::size_t before = harness.started.size();
+    const ExchangeId waiting(harness.lastExchange);
+    CHECK_FALSE(harness.answerOf(waiting));
+    const LimitLent loan {harness.limitRequests[0].number, {{TargetId("t0"), 1}}, seconds(1)};
+    harness.apply(LimitLent {loan.number + 1000, loan.lent, loan.validFor});
+    CHECK(harness.started.size() == before);
+    harness.apply(loan);
+    CHECK(harness.started.size() == before + 1);
+    harness.apply(loan);
+    harness.sendRequest("/urgent/x");
+    CHECK(harness.started.size() == before + 1);
+}
+
+TEST_CASE("a request is refused when no member lends in time")
+{
+    GatewayHarness harness = singleTarget();
+    harness.answerWatch({GatewayHarness::memberChange("a", "127.0.0.1:7000"),
+                         GatewayHarness::memberChange("b", "127.0.0.1:7001")});
+    harness.sendRequest("/urgent/x");
+    replyWithLimit(harness, 2.0);
+    while (harness.limitRequests.empty()) {
+        harness.sendRequest("/urgent/x");
+    }
+    const ExchangeId waiting(harness.lastExchange);
+    SECTION("the member refuses")
+    {
+        harness.apply(LimitLent {
+                harness.limitRequests[0].number, {{TargetId("t0"), 0}}, milliseconds(500)});
+    }
+    SECTION("the member does not reply")
+    {
+        harness.advance(milliseconds(26));
+    }
+    REQUIRE(harness.answerOf(waiting));
+    CHECK(harness.answerOf(waiting)->status == 503);
+}
