--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -18,8 +18,9 @@
 
 /// The state of one group's part of an exchange.
 enum class PartPhase {
-    Waiting, ///< Queued until a replica has capacity or a member lends budget.
-    Running, ///< At least one attempt is running.
+    Waiting,   ///< Queued until a replica has capacity or a member lends budget.
+    Borrowing, ///< Waits for a member to lend a request at a limited replica.
+    Running,   ///< At least one attempt is running.
     Answered,
     Abandoned, ///< No further attempt is made.
 };
@@ -46,9 +47,10 @@
     /// Until when the part waits for another member to lend an extra arrival. Instant::min() if no
     /// loan was requested.
     Instant loanDeadline = Instant::min();
-    /// Until when the part waits for another member to lend a request at a limited replica.
-    /// Instant::min() if it does not wait for that.
-    Instant limitLoanDeadline = Instant::min();
+    /// Whether a request at a limited replica was requested from another member for the next
+    /// attempt, and until when the part waits for it.
+    bool limitLoanRequested = false;
+    Instant limitLoanDeadline {};
     /// When a hedge is considered; Instant::max() for never.
     Instant hedgeAt = Instant::max();
     std::shared_ptr<const ForwardedReply> reply;
@@ -57,7 +59,8 @@
 
     bool isOpen() const
     {
-        return this->phase == PartPhase::Waiting || this->phase == PartPhase::Running;
+        return this->phase == PartPhase::Waiting || this->phase == PartPhase::Borrowing
+                || this->phase == PartPhase::Running;
     }
 };
 
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -128,9 +128,11 @@
     /// Requests an extra arrival from another member and lets the part wait for it. Each part
     /// requests only one loan.
     void requestBudgetLoan(Exchange &exchange, std::size_t index, GatewayContext &context);
-    /// Borrows a request at a limited replica for a part that the limits leave none, and lets the
-    /// part wait for it if the exchange needs the part. Otherwise the part is given up.
-    void borrowOrWithhold(Exchange &exchange, std::size_t index, GatewayContext &context);
+    /// Dispatches a part that has waited for a loan.
+    void dispatchAgain(Exchange &exchange, std::size_t index, GatewayContext &context);
+    /// Requests one request at a limited replica from another member and lets the part wait for it.
+    void awaitLoan(Exchange &exchange, std::size_t index, const TargetNode &target,
+                   GatewayContext &context);
     /// Gives up a part because the limits of its replicas leave no request.
     void withhold(Exchange &exchange, std::size_t index, GatewayContext &context);
     /// Refuses a gathered exchange that can't reach its minimum coverage because of limits. Nothing
@@ -183,8 +185,8 @@
     std::unordered_map<GroupName, std::deque<WaitingPart>> waitingParts;
     /// Parts that wait for a budget loan.
     std::unordered_map<GroupName, std::deque<WaitingPart>> partsAwaitingLoan;
-    /// Parts that wait for a loan of requests at limited targets.
-    std::unordered_map<GroupName, std::vector<WaitingPart>> partsAwaitingLimit;
+    /// Parts that wait for a loan of a request at a limited target, by target.
+    std::unordered_map<TargetId, std::vector<WaitingPart>> partsAwaitingLimit;
     BudgetLoans budgetLoans;
     CrashTracker trackedCrashes;
     std::vector<CrashObservation> newCrashes;
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -194,13 +194,12 @@
                 this->hedge(exchange, i, context);
             }
             next = std::min(next, part.hedgeAt);
-        } else if (part.phase == PartPhase::Waiting && part.limitLoanDeadline != Instant::min()) {
+        } else if (part.phase == PartPhase::Borrowing) {
             if (context.now >= part.limitLoanDeadline) {
-                this->withhold(exchange, i, context);
-                partAbandoned = true;
-            } else {
-                next = std::min(next, part.limitLoanDeadline);
+                this->dispatchAgain(exchange, i, context);
+                partAbandoned = partAbandoned || part.phase == PartPhase::Abandoned;
             }
+            next = std::min(next, std::max(part.limitLoanDeadline, context.now + Duration(1000)));
         } else if (part.phase == PartPhase::Waiting && part.loanDeadline != Instant::min()) {
             if (context.now >= part.loanDeadline) {
                 part.phase = PartPhase::Abandoned;
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -24,6 +24,13 @@
     return {part.triedTargets, *exchange.latency, !isOptional, {exchange.urgencyRank, isOptional}};
 }
 
+/// Returns true if the part should wait for a request at a limited replica.
+bool canAwaitLoan(const Part &part, const TargetChoice &choice, Instant now)
+{
+    return choice.loanTarget != nullptr
+            && (!part.limitLoanRequested || now < part.limitLoanDeadline);
+}
+
 /// Returns true if the part may have one more attempt, parallel to the one that is running. This
 /// may have changed since the hedge was planned or its loan was requested.
 bool canHedge(const Exchange &exchange, const Part &part)
@@ -50,15 +57,20 @@
     const bool isOptional = this->isDispensable(exchange, part);
     const TargetChoice choice = this->targets.choose(
             *part.group, termsFor(exchange, part, isOptional), context.now, context.random);
-    if (choice.target != nullptr) {
+    if (!isOptional && canAwaitLoan(part, choice, context.now)) {
+        this->awaitLoan(exchange, index, *choice.loanTarget, context);
+    } else if (choice.target != nullptr) {
         this->sendTo(exchange, index, *choice.target, kind, context);
     } else if (choice.problem == ChoiceProblem::Busy) {
         part.phase = PartPhase::Waiting;
-        part.limitLoanDeadline = Instant::min();
         exchange.recordStep(TraceKind::Wait, index, {}, context.now);
         this->waitingParts[part.group->name].push_back({exchange.id, index});
     } else if (choice.problem == ChoiceProblem::Limited) {
-        this->borrowOrWithhold(exchange, index, context);
+        if (isOptional) {
+            // This answer goes out without the part, but the next ones are likely to need it too.
+            this->targets.requestLoan(*part.group, context.now, context.random);
+        }
+        this->withhold(exchange, index, context);
     } else {
         part.phase = PartPhase::Abandoned;
         exchange.recordStep(choice.problem == ChoiceProblem::Avoided ? TraceKind::Avoided
@@ -67,22 +79,22 @@
     }
 }
 
-void Forwarder::borrowOrWithhold(Exchange &exchange, std::size_t index, GatewayContext &context)
+void Forwarder::awaitLoan(Exchange &exchange, std::size_t index, const TargetNode &target,
+                          GatewayContext &context)
 {
     Part &part = exchange.parts[index];
-    const bool requested =
-            this->targets.requestLoan(*part.group, part.triedTargets, context.now, context.random);
-    const bool isFirst = part.limitLoanDeadline == Instant::min();
-    const bool hasTime = isFirst || context.now < part.limitLoanDeadline;
-    if (!requested || !hasTime || this->isDispensable(exchange, part)) {
-        this->withhold(exchange, index, context);
-        return;
-    }
-    part.phase = PartPhase::Waiting;
-    if (isFirst) {
+    if (!std::exchange(part.limitLoanRequested, true)) {
         part.limitLoanDeadline = context.now + loanTimeout;
     }
-    this->partsAwaitingLimit[part.group->name].push_back({exchange.id, index});
+    part.phase = PartPhase::Borrowing;
+    this->targets.limits().requestLoan(target.record.id, context.now, context.random);
+    this->partsAwaitingLimit[target.record.id].push_back({exchange.id, index});
+}
+
+void Forwarder::dispatchAgain(Exchange &exchange, std::size_t index, GatewayContext &context)
+{
+    const bool isFirst = exchange.parts[index].arrivedAttempts == 0;
+    this->dispatch(exchange, index, isFirst ? TraceKind::Send : TraceKind::Retry, context);
 }
 
 void Forwarder::onLimitLent(const LimitLent &event, GatewayContext &context)
@@ -92,20 +104,15 @@
     }
     this->targets.limits().onLent(event, context.now);
     for (const auto &[target, count] : event.lent) {
-        const TargetGroup *group = this->targets.groupOf(target);
-        if (group == nullptr) {
+        const auto waiting = this->partsAwaitingLimit.extract(target);
+        if (waiting.empty()) {
             continue;
         }
-        for (const WaitingPart &next : std::exchange(this->partsAwaitingLimit[group->name], {})) {
+        for (const WaitingPart &next : waiting.mapped()) {
             Exchange *exchange = this->find(next.exchange);
-            if (exchange == nullptr || this->dropUnpermitted(*exchange, context)) {
-                continue;
-            }
-            Part &part = exchange->parts[next.part];
-            if (part.phase == PartPhase::Waiting && part.limitLoanDeadline != Instant::min()) {
-                this->dispatch(*exchange, next.part,
-                               part.arrivedAttempts > 0 ? TraceKind::Retry : TraceKind::Send,
-                               context);
+            if (exchange != nullptr && !this->dropUnpermitted(*exchange, context)
+                && exchange->parts[next.part].phase == PartPhase::Borrowing) {
+                this->dispatchAgain(*exchange, next.part, context);
                 this->advance(next.exchange, context);
             }
         }
@@ -140,7 +147,7 @@
         exchange.parts[i].phase = PartPhase::Abandoned;
         if (problems[i] == ChoiceProblem::Limited) {
             // Too late for this exchange, but more are likely to come.
-            this->targets.requestLoan(*exchange.parts[i].group, {}, context.now, context.random);
+            this->targets.requestLoan(*exchange.parts[i].group, context.now, context.random);
             this->withhold(exchange, i, context);
         }
     }
@@ -182,7 +189,7 @@
     part.runningAttempts.push_back(id);
     part.triedTargets.push_back(target.record.id);
     part.phase = PartPhase::Running;
-    part.limitLoanDeadline = Instant::min();
+    part.limitLoanRequested = false;
     ++part.possibleRuns;
     ++part.arrivedAttempts;
     part.hedgeAt = part.runningAttempts.size() == 1 && part.possibleRuns < exchange.route->attempts
--- a/logic/gateway/limit_bucket.cpp
+++ b/logic/gateway/limit_bucket.cpp
@@ -1,7 +1,5 @@
 #include "logic/gateway/limit_bucket.h"
 
-#include "logic/gateway/limit_constants.h"
-
 #include <algorithm>
 
 namespace lagoondeck {
@@ -13,25 +11,21 @@
 
 } // namespace
 
-double LimitBucket::capacity() const
-{
-    return this->perSecond > 0.0 ? std::max(this->perSecond * limits::burstTime.count(), 1.0) : 0.0;
-}
-
 double LimitBucket::tokensAt(Instant now) const
 {
     const std::chrono::duration<double> elapsed = now - this->refilledAt;
-    return std::min(this->tokens + elapsed.count() * this->perSecond, this->capacity());
+    return std::min(this->tokens + elapsed.count() * this->perSecond, this->maxTokens);
 }
 
-void LimitBucket::setRate(double rate, Instant now)
+void LimitBucket::setShare(double rate, double newCapacity, Instant now)
 {
     const bool isNew = this->refilledAt == Instant();
     this->tokens = this->tokensAt(now);
     this->refilledAt = now;
     this->perSecond = rate;
+    this->maxTokens = newCapacity;
     if (isNew) {
-        this->tokens = initialFill * this->capacity();
+        this->tokens = initialFill * newCapacity;
     }
 }
 
--- a/logic/gateway/limit_bucket.h
+++ b/logic/gateway/limit_bucket.h
@@ -12,8 +12,9 @@
 class LimitBucket
 {
 public:
-    /// Sets the rate at which tokens are added. The tokens that are there are kept.
-    void setRate(double perSecond, Instant now);
+    /// Sets the rate at which tokens are added, and how many are kept at most. The tokens that are
+    /// there are kept.
+    void setShare(double perSecond, double capacity, Instant now);
     /// Returns true if a request may be sent that leaves the given number of tokens.
     bool allows(double reserve, Instant now) const;
     /// Takes the token of a request.
@@ -25,8 +26,7 @@
     void borrow(std::uint32_t count, Instant until);
     /// How long the borrower may use a loan.
     static constexpr Duration loanLifetime = std::chrono::milliseconds(500);
-    /// Returns the largest number of tokens that are kept.
-    double capacity() const;
+    double capacity() const { return this->maxTokens; }
 
 private:
     /// Tokens that another instance lent.
@@ -40,6 +40,7 @@
     bool hasLoan(Instant now) const;
 
     double perSecond = 0.0;
+    double maxTokens = 0.0;
     double tokens = 0.0;
     Instant refilledAt {};
     std::deque<Loan> borrowed;
--- a/logic/gateway/target_limit.cpp
+++ b/logic/gateway/target_limit.cpp
@@ -1,5 +1,6 @@
 #include "logic/gateway/target_limit.h"
 
+#include "logic/gateway/limit_constants.h"
 #include "logic/gateway/limit_holders.h"
 
 #include <algorithm>
@@ -74,13 +75,17 @@
     this->dividedLimit = this->limit;
     const double rate = std::max(this->limit.value_or(0.0), minPerSecond);
     this->holders.clear();
-    if (candidates.empty()) {
-        this->bucket.setRate(rate / assumedInstances, now);
-        return;
+    std::vector<MemberRecord> holders;
+    double holderCount = assumedInstances;
+    bool isHolder = true;
+    if (!candidates.empty()) {
+        holders = limitHolders(candidates, target, rate);
+        holderCount = static_cast<double>(holders.size());
+        isHolder = std::ranges::find(holders, self, &MemberRecord::id) != holders.end();
     }
-    const std::vector<MemberRecord> holders = limitHolders(candidates, target, rate);
-    const bool isHolder = std::ranges::find(holders, self, &MemberRecord::id) != holders.end();
-    this->bucket.setRate(isHolder ? rate / static_cast<double>(holders.size()) : 0.0, now);
+    const double burst = rate * limits::burstTime.count() + limits::extraBurst;
+    this->bucket.setShare(isHolder ? rate / holderCount : 0.0,
+                          isHolder ? std::max(burst / holderCount, 1.0) : 0.0, now);
     for (const MemberRecord &holder : holders) {
         if (holder.id != self) {
             this->holders.push_back(holder.peerAddress);
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -135,16 +135,19 @@
     }
 }
 
-bool TargetLimits::requestLoan(const TargetId &target, Instant now, RandomEngine &random)
+bool TargetLimits::mayRequestLoan(const TargetId &target, Instant now)
 {
     const TargetLimit *limit = this->find(target, now);
-    if (limit == nullptr || limit->otherHolders().empty() || !limit->mayRequestLoan(now)) {
-        return false;
+    return limit != nullptr && !limit->otherHolders().empty() && limit->mayRequestLoan(now);
+}
+
+void TargetLimits::requestLoan(const TargetId &target, Instant now, RandomEngine &random)
+{
+    if (const TargetLimit *limit = this->find(target, now)) {
+        const std::vector<std::string> &holders = limit->otherHolders();
+        std::uniform_int_distribution<std::size_t> any(0, holders.size() - 1);
+        this->limitLoans.add(holders[any(random)], target, *limit->perSecond(now));
     }
-    const std::vector<std::string> &holders = limit->otherHolders();
-    std::uniform_int_distribution<std::size_t> any(0, holders.size() - 1);
-    this->limitLoans.add(holders[any(random)], target, *limit->perSecond(now));
-    return true;
 }
 
 LimitGrants TargetLimits::lend(const std::vector<LimitWish> &wishes, Instant now)
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -78,9 +78,10 @@
     bool allows(const TargetId &target, const LimitUse &use, Instant now);
     /// Called when an attempt is sent to a target.
     void onSent(const TargetId &target, TraceKind cause, Instant now);
-    /// Requests one request at the target from another member. Returns false if that is useless
-    /// now.
-    bool requestLoan(const TargetId &target, Instant now, RandomEngine &random);
+    /// Returns true if another member may lend a request at the target.
+    bool mayRequestLoan(const TargetId &target, Instant now);
+    /// Requests one request at the target from another member.
+    void requestLoan(const TargetId &target, Instant now, RandomEngine &random);
     /// The requests for loans that are to be sent.
     LimitLoans &loans() { return this->limitLoans; }
     /// Lends a member what this instance does not need itself.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -41,6 +41,8 @@
 constexpr Duration minStallTime = std::chrono::milliseconds(12);
 /// The cost of a stalled target, in addition to the time that its oldest request has been running.
 constexpr double stallCostMs = 60.0;
+/// The wait for a loan of a request at a limited target.
+constexpr double loanCostMs = 10.0;
 /// The cost of a request that is certain to fail; multiplied by the failure rate.
 constexpr double failureCostMs = 120.0;
 /// Traffic between failure domains is charged for. A replica in this instance's domain is preferred
@@ -69,6 +71,13 @@
     return 1.0 + (target.slowness - 1.0) * learnedWeight(target, now);
 }
 
+template <typename Range>
+auto pickRandom(Range &range, RandomEngine &random)
+{
+    std::uniform_int_distribution<std::size_t> any(0, range.size() - 1);
+    return range.begin() + static_cast<std::ptrdiff_t>(any(random));
+}
+
 bool isStalled(const TargetNode &target, const LatencyModel &model, Instant now)
 {
     if (target.sendTimes.empty()) {
@@ -241,19 +250,16 @@
     return found == this->targets.end() ? nullptr : &this->group(found->second->record.group);
 }
 
-bool TargetRegistry::requestLoan(const TargetGroup &group, std::span<const TargetId> excluded,
-                                 Instant now, RandomEngine &random)
+void TargetRegistry::requestLoan(const TargetGroup &group, Instant now, RandomEngine &random)
 {
     std::vector<const TargetNode *> replicas;
     std::ranges::copy_if(
-            group.targets, std::back_inserter(replicas), [excluded](const TargetNode *target) {
-                return target->usable
-                        && std::ranges::find(excluded, target->record.id) == excluded.end();
+            group.targets, std::back_inserter(replicas), [&](const TargetNode *target) {
+                return target->usable && this->targetLimits.mayRequestLoan(target->record.id, now);
             });
-    std::ranges::shuffle(replicas, random);
-    return std::ranges::any_of(replicas, [&](const TargetNode *target) {
-        return this->targetLimits.requestLoan(target->record.id, now, random);
-    });
+    if (!replicas.empty()) {
+        this->targetLimits.requestLoan((*pickRandom(replicas, random))->record.id, now, random);
+    }
 }
 
 LimitGrants TargetRegistry::lendLimits(const LimitRequested &event, GatewayContext &context)
@@ -297,6 +303,7 @@
                                     RandomEngine &random)
 {
     std::vector<TargetNode *> available;
+    std::vector<TargetNode *> limited;
     TargetNode *earliestAvoided = nullptr;
     ChoiceProblem problem = ChoiceProblem::NoTarget;
     for (TargetNode *target : group.targets) {
@@ -306,6 +313,10 @@
         }
         if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
             problem = std::max(problem, ChoiceProblem::Limited);
+            if (this->hasCapacity(*target, group)
+                && this->targetLimits.mayRequestLoan(target->record.id, now)) {
+                limited.push_back(target);
+            }
         } else if (!this->hasCapacity(*target, group)) {
             problem = std::max(problem, ChoiceProblem::Busy);
         } else if (now < target->avoidUntil) {
@@ -317,25 +328,40 @@
             available.push_back(target);
         }
     }
-    if (available.empty()) {
-        return terms.allowAvoided && earliestAvoided != nullptr
-                ? TargetChoice {earliestAvoided, ChoiceProblem::None}
-                : TargetChoice {nullptr, problem};
+    const CostedTarget best = this->cheapest(std::move(available), terms.latency, now, random);
+    if (best.target != nullptr) {
+        // What a limit leaves to this instance is used first.
+        const bool isLimited =
+                this->targetLimits.perSecond(best.target->record.id, now).has_value();
+        const CostedTarget loan = this->cheapest(std::move(limited), terms.latency, now, random);
+        const bool isLoanCheaper =
+                !isLimited && loan.target != nullptr && loan.cost + loanCostMs < best.cost;
+        return {best.target, ChoiceProblem::None, isLoanCheaper ? loan.target : nullptr};
     }
-    if (available.size() > maxCompared) {
-        std::ranges::shuffle(available, random);
-        available.resize(2);
+    // Any replica will do, and unused parts of limits may lie at the holders of each of them.
+    TargetNode *loanTarget = limited.empty() ? nullptr : *pickRandom(limited, random);
+    if (terms.allowAvoided && earliestAvoided != nullptr) {
+        return {earliestAvoided, ChoiceProblem::None, loanTarget};
+    }
+    return {nullptr, problem, loanTarget};
+}
+
+TargetRegistry::CostedTarget TargetRegistry::cheapest(std::vector<TargetNode *> candidates,
+                                                      const LatencyModel &model, Instant now,
+                                                      RandomEngine &random) const
+{
+    if (candidates.size() > maxCompared) {
+        std::ranges::shuffle(candidates, random);
+        candidates.resize(2);
     }
-    TargetNode *best = nullptr;
-    double bestCost = 0.0;
-    for (TargetNode *target : available) {
-        const double cost = this->cost(*target, terms.latency, now, random);
-        if (best == nullptr || cost < bestCost) {
-            best = target;
-            bestCost = cost;
+    CostedTarget best;
+    for (TargetNode *target : candidates) {
+        const double cost = this->cost(*target, model, now, random);
+        if (best.target == nullptr || cost < best.cost) {
+            best = {target, cost};
         }
     }
-    return {best, ChoiceProblem::None};
+    return best;
 }
 
 void TargetRegistry::onSent(TargetNode &target, TraceKind cause, Instant now)
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -65,6 +65,9 @@
 {
     TargetNode *target = nullptr;
     ChoiceProblem problem = ChoiceProblem::None;
+    /// A limited replica that costs less even with the wait for a loan, or that is the only way.
+    /// Null if there is none or if a loan is unlikely now.
+    TargetNode *loanTarget = nullptr;
 };
 
 /// Holds all targets by group with their learned health, and chooses among replicas.
@@ -98,10 +101,8 @@
                         RandomEngine &random);
     /// Called when a member reports limits that targets state.
     void onLimitsReported(const LimitReport &report, GatewayContext &context);
-    /// Requests one request at a limited replica of the group that is not excluded from another
-    /// member. Returns false if that is useless now.
-    bool requestLoan(const TargetGroup &group, std::span<const TargetId> excluded, Instant now,
-                     RandomEngine &random);
+    /// Requests one request at some limited replica of the group from another member.
+    void requestLoan(const TargetGroup &group, Instant now, RandomEngine &random);
     /// Lends a member parts of this instance's shares of limits.
     LimitGrants lendLimits(const LimitRequested &event, GatewayContext &context);
     /// Returns the target's group, or null if the target is not known.
@@ -135,9 +136,19 @@
 private:
     /// Returns true if this instance's share of the connection cap allows another request.
     bool hasCapacity(const TargetNode &target, const TargetGroup &group) const;
+    /// A target with the expected cost of a request.
+    struct CostedTarget
+    {
+        TargetNode *target = nullptr;
+        double cost = 0.0;
+    };
+
     /// Returns the expected cost of sending a request to the target, in milliseconds of latency.
     double cost(const TargetNode &target, const LatencyModel &model, Instant now,
                 RandomEngine &random) const;
+    /// Returns the candidate with the lowest cost, or none. Compares only two of many candidates.
+    CostedTarget cheapest(std::vector<TargetNode *> candidates, const LatencyModel &model,
+                          Instant now, RandomEngine &random) const;
     void detach(TargetNode &target);
     void removeIdleRetired();
 
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -91,6 +91,11 @@
 
     /// From now on the target's replies state this limit, or none.
     void setLimit(const std::string &target, std::optional<double> perSecond);
+    /// From now on the target takes this many times as long.
+    void setSlowness(const std::string &target, double factor)
+    {
+        this->targets.at(TargetId(target)).slowness = factor;
+    }
     /// Replaces an instance by a new process that knows nothing.
     void restart(std::size_t instance);
     /// From now on the instance neither receives nor sends anything.
--- a/tests/logic/gateway/test_limit_bucket.cpp
+++ b/tests/logic/gateway/test_limit_bucket.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-TEST_CASE("a bucket lets through its rate and at most one second's worth of it at once")
+TEST_CASE("a bucket lets through its rate and at most its capacity at once")
 {
     rc::prop("for any rates and demands", [] {
         std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
@@ -39,7 +39,8 @@
         LimitBucket bucket;
         Instant now {std::chrono::seconds(1)};
         const Instant start = now;
-        bucket.setRate(rate, now);
+        const double capacity = std::max(rate, 1.0);
+        bucket.setShare(rate, capacity, now);
         std::uint32_t sent = 0;
         std::exponential_distribution<double> gap(demand);
         while (now - start < std::chrono::seconds(30)) {
@@ -49,7 +50,7 @@
                 ++sent;
             }
             const std::chrono::duration<double> elapsed = now - start;
-            RC_ASSERT(sent <= rate * elapsed.count() + std::max(rate, 1.0));
+            RC_ASSERT(sent <= rate * elapsed.count() + capacity);
         }
     });
 }
@@ -57,7 +58,7 @@
 TEST_CASE("a bucket without a rate lets nothing through")
 {
     LimitBucket bucket;
-    bucket.setRate(0.0, Instant(std::chrono::seconds(1)));
+    bucket.setShare(0.0, 0.0, Instant(std::chrono::seconds(1)));
     CHECK_FALSE(bucket.allows(0.0, Instant(std::chrono::hours(1))));
 }
 
@@ -66,13 +67,13 @@
 {
     LimitBucket bucket;
     Instant now {std::chrono::seconds(1)};
-    bucket.setRate(4.0, now);
+    bucket.setShare(4.0, 4.0, now);
     now += std::chrono::seconds(5);
     for (int i = 0; i < 4; ++i) {
         REQUIRE(bucket.allows(0.0, now));
         bucket.spend(now);
     }
-    bucket.setRate(8.0, now);
+    bucket.setShare(8.0, 8.0, now);
     CHECK_FALSE(bucket.allows(0.0, now));
     CHECK(bucket.allows(0.0, now + milliseconds(130)));
 }
@@ -81,7 +82,7 @@
 {
     LimitBucket bucket;
     Instant now {std::chrono::seconds(1)};
-    bucket.setRate(4.0, now);
+    bucket.setShare(4.0, 4.0, now);
     now += std::chrono::seconds(5);
     bucket.spend(now);
     bucket.spend(now);
@@ -98,7 +99,7 @@
         std::vector<LimitBucket> buckets(instances);
         const Instant start {std::chrono::seconds(1)};
         for (LimitBucket &bucket : buckets) {
-            bucket.setRate(rate, start);
+            bucket.setShare(rate, std::max(rate, 1.0), start);
         }
         std::uniform_int_distribution<std::size_t> any(0, instances - 1);
         std::uint32_t sent = 0;
--- a/tests/logic/gateway/test_target_limits.cpp
+++ b/tests/logic/gateway/test_target_limits.cpp
@@ -328,6 +328,36 @@
     CHECK(fractionWith(fleet, 200, first) >= 0.9);
 }
 
+// Guards against the one replica without a limit that gets all the load until it falls over.
+TEST_CASE("hot spot: limited replicas with requests left go before a slow one without a limit")
+{
+    FleetPlan plan = smallFleet();
+    plan.plainTargets = 4;
+    GatewayFleet fleet(plan);
+    fleet.setSlowness("p0", 6.0);
+    for (const char *limited : {"p1", "p2", "p3"}) {
+        fleet.setLimit(limited, 8.0);
+    }
+    const auto sendAtOneInstance = [&fleet](int count) {
+        for (int i = 0; i < count; ++i) {
+            fleet.sendQuery(0, GatewayFleet::plain);
+            fleet.run(milliseconds(50));
+        }
+    };
+    sendAtOneInstance(60);
+    const std::uint64_t first = fleet.queries + 1;
+    sendAtOneInstance(200);
+    fleet.run(seconds(1));
+    std::size_t fast = 0;
+    for (std::uint64_t number = first; number <= fleet.queries; ++number) {
+        fast += fleet.answers.at(number).elapsed < milliseconds(40);
+    }
+    CHECK(fast >= 160);
+    for (const char *limited : {"p1", "p2", "p3"}) {
+        CHECK(static_cast<double>(maxToldArrivals(fleet, limited)) <= allowedArrivals(8.0));
+    }
+}
+
 TEST_CASE("the end of a limit reaches the instances that don't send to the target")
 {
     GatewayFleet fleet(sparseFleet());
