--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -277,19 +277,14 @@
 
 void Gateway::updateInstances(Instant now)
 {
-    std::size_t instances = std::max<std::size_t>(this->storeSync.members().size(), 1);
+    if (this->recentMembers.update(this->storeSync.members(), now)) {
+        this->targets.limits().setMembers(this->recentMembers.all());
+    }
+    std::size_t instances = std::max<std::size_t>(this->recentMembers.size(), 1);
     if (now - this->startedAt < assumedInstancesPeriod) {
         instances = std::max(instances, assumedInstances);
     }
     this->targets.setInstanceCount(instances);
-    if (this->limitMemberRevision != this->storeSync.memberRevision()) {
-        this->limitMemberRevision = this->storeSync.memberRevision();
-        std::vector<MemberRecord> members;
-        for (const auto &[id, member] : this->storeSync.members()) {
-            members.push_back(member);
-        }
-        this->targets.limits().setMembers(std::move(members));
-    }
 }
 
 void Gateway::on(const TimerDue &, GatewayContext &context)
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "logic/gateway/gateway_events.h"
 #include "logic/gateway/query_delegator.h"
 #include "logic/gateway/query_rate.h"
+#include "logic/gateway/recent_members.h"
 #include "logic/gateway/registration.h"
 #include "logic/gateway/seen_numbers.h"
 #include "logic/gateway/store_sync.h"
@@ -125,8 +126,8 @@
     Instant rankedAt {};
     /// The reports of members that were passed on.
     SeenNumbers seenReports;
-    /// The revision of the members among which the targets' limits are divided.
-    std::uint64_t limitMemberRevision = 0;
+    /// The members among which fleet-wide limits are divided.
+    RecentMembers recentMembers;
     /// The revisions of the members, targets and configuration that the ranking is computed from.
     std::array<std::uint64_t, 3> rankedRevisions {};
 };
--- a/tests/logic/gateway/test_forwarder.cpp
+++ b/tests/logic/gateway/test_forwarder.cpp
@@ -385,6 +385,28 @@
     CHECK(harness.grantedLoans[0].loan.lent == GroupExtras {{GroupName("g"), 1}});
 }
 
+// Guards against an instance that spends the retry budget of members whose registrations expired.
+TEST_CASE("the share of the retry budget doesn't grow while registrations have expired")
+{
+    GatewayHarness harness(configOf({plainRoute("/p/", "g", true)}), {target("t0", "g")},
+                           {0.0, 160.0, std::chrono::seconds(10)});
+    std::vector<StoreChange> registrations;
+    std::vector<StoreChange> removals;
+    for (int i = 0; i < 16; ++i) {
+        registrations.push_back(
+                GatewayHarness::memberChange("m" + std::to_string(i), "127.0.0.1:1"));
+        removals.push_back(registrations.back());
+        removals.back().removed = true;
+        removals.back().content = std::monostate();
+    }
+    harness.answerWatch(registrations);
+    harness.advance(std::chrono::seconds(6));
+    harness.answerWatch(removals);
+    harness.apply(BudgetRequested {"127.0.0.1:7009", 5, {{GroupName("g"), 1000}}});
+    REQUIRE(harness.grantedLoans.size() == 1);
+    CHECK(harness.grantedLoans[0].loan.lent.at(GroupName("g")) <= 160 / 16);
+}
+
 TEST_CASE("a target whose attempt was closed for being slow is avoided afterwards")
 {
     GatewayHarness harness = plainHarness(true, 2);
--- a/tests/logic/gateway/test_target_limits.cpp
+++ b/tests/logic/gateway/test_target_limits.cpp
@@ -510,3 +510,34 @@
     REQUIRE(harness.answerOf(waiting));
     CHECK(harness.answerOf(waiting)->status == 503);
 }
+
+// Guards against an instance that takes the few members that have registered again, after all
+// registrations expired, for the whole fleet.
+TEST_CASE("shares don't grow while the registrations of all other members have expired")
+{
+    GatewayHarness harness = singleTarget();
+    std::vector<StoreChange> registrations;
+    std::vector<StoreChange> removals;
+    for (const char *id : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+        registrations.push_back(GatewayHarness::memberChange(id, "127.0.0.1:1"));
+        removals.push_back(registrations.back());
+        removals.back().removed = true;
+        removals.back().content = std::monostate();
+    }
+    removals.front() = registrations.front();
+    harness.answerWatch(registrations);
+    harness.sendRequest("/urgent/x");
+    replyWithLimit(harness, 16.0);
+    harness.advance(seconds(2));
+    harness.answerWatch(removals);
+    const std::size_t before = harness.started.size();
+    for (int i = 0; i < 200; ++i) {
+        harness.sendRequest("/urgent/x");
+        if (harness.started.size() > before) {
+            replyWithLimit(harness, 16.0);
+        }
+        harness.advance(milliseconds(20));
+    }
+    // An eighth of 16 requests a second for 4 s, and what the bucket held.
+    CHECK(harness.started.size() - before <= 8 + 3);
+}
