--- a/standins/platform_target.cpp
+++ b/standins/platform_target.cpp
@@ -77,6 +77,9 @@
     if (this->fault != TargetFault::Unsigned) {
         headers.emplace_back("Server-Stamp", this->instanceId + "/" + requestId);
     }
+    if (!this->limit.empty()) {
+        headers.emplace_back("Server-Limit", this->limit);
+    }
     connection->reply(this->fault == TargetFault::Fail ? 500 : 200, headers, body);
 }
 
--- a/standins/platform_target.h
+++ b/standins/platform_target.h
@@ -41,6 +41,8 @@
 
     void setFault(TargetFault value) { this->fault = value; }
     void setDelay(Duration value) { this->delay = value; }
+    /// Sets the limit that the replies state, in requests per second. Call before start().
+    void setLimit(std::string value) { this->limit = std::move(value); }
     std::uint64_t runs() const { return this->runCount; }
     /// Returns the time limit that came with the request; empty if it did not run here.
     std::optional<Duration> timeLimitOf(const std::string &requestId) const;
@@ -56,6 +58,7 @@
     std::vector<std::string> records;
     TargetFault fault = TargetFault::None;
     Duration delay {};
+    std::string limit;
     std::set<std::string> seen;
     mutable std::mutex timeLimitsMutex;
     std::map<std::string, Duration> timeLimits;
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <memory>
@@ -38,7 +39,8 @@
 class GatewayFixture
 {
 public:
-    GatewayFixture()
+    /// `limit` is what the targets state in their replies; empty if nothing.
+    explicit GatewayFixture(const std::string &limit = "")
     {
         for (int group = 0; group < 2; ++group) {
             for (int replica = 0; replica < 2; ++replica) {
@@ -47,6 +49,7 @@
                         this->loop, id,
                         std::vector {std::string(16, static_cast<char>('a' + group)),
                                      std::string(16, static_cast<char>('k' + group))}));
+                this->targets.back()->setLimit(limit);
                 this->targets.back()->start();
             }
         }
@@ -205,6 +208,30 @@
     CHECK(second < third);
 }
 
+// Guards against targets in need that get more than the limit that they state.
+TEST_CASE("a daemon sends its targets no more than they take and refuses the rest as not run")
+{
+    GatewayFixture fixture("5");
+    constexpr int requests = 60;
+    const auto begin = std::chrono::steady_clock::now();
+    int served = 0;
+    for (int i = 0; i < requests; ++i) {
+        const CallReply reply = fixture.call("/one/x", "l" + std::to_string(i));
+        served += reply.status() == 200 ? 1 : 0;
+        if (reply.status() != 200) {
+            CHECK(reply.status() == 503);
+            CHECK_FALSE(reply.header("Retry-After").empty());
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    // Two targets, each with five requests a second and one second of them in advance, and the
+    // first requests, before the limit was known.
+    CHECK(served <= 2 * (5.0 * (elapsed.count() + 1.0) + 3.0));
+    CHECK(served >= 0.8 * std::min<double>(requests, 2 * 5.0 * elapsed.count()));
+    CHECK(fixture.runs() == static_cast<std::uint64_t>(served));
+}
+
 // Guards against a pipelined request whose time starts when the request before it was answered.
 TEST_CASE("the time that a pipelined request waits for the one before it counts as its own")
 {
