--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
+/// The rest is read after the other connections were served.
+constexpr std::size_t maxBytesPerRead = 256 * 1024;
 /// The connection is broken if the peer does not acknowledge sent bytes within this time. A machine
 /// that lost power or its network sends neither an acknowledgement nor a reset.
 constexpr int userTimeoutMs = 3000;
@@ -139,7 +141,7 @@
     }
     std::array<char, readBufferBytes> bytes;
     try {
-        while (true) {
+        for (std::size_t total = 0; total < maxBytesPerRead;) {
             const int count =
                     this->socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
             if (count == 0) {
@@ -149,10 +151,12 @@
                 return ReadResult::Open;
             }
             buffer.append(bytes.data(), static_cast<std::size_t>(count));
+            total += static_cast<std::size_t>(count);
             if (static_cast<std::size_t>(count) < bytes.size()) {
                 return ReadResult::Open;
             }
         }
+        return ReadResult::Open;
     } catch (const Poco::Exception &) {
         this->broken = true;
         return ReadResult::Broken;
--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -14,9 +14,9 @@
 } // namespace
 
 ClientLink::ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id,
-                       const Hooks &hooks, Instant now)
+                       const Hooks &hooks, ByteBudget &replyBytes, Instant now)
     : stream(loop, address), linkId(id), hooks(hooks),
-      reader(HttpReader::Kind::Reply, maxHeaderBytes, maxBodyBytes),
+      reader(HttpReader::Kind::Reply, maxHeaderBytes, maxBodyBytes), replyBytes(replyBytes),
       connectDeadline(now + connectTimeout)
 { }
 
@@ -67,7 +67,12 @@
             return;
         }
     }
+    const std::size_t bufferedBytes = this->input.size();
     const ReadResult result = this->stream.read(this->input);
+    if (!this->replyBytes.add(this->input.size() - bufferedBytes)) {
+        this->close(LinkEndKind::Malformed);
+        return;
+    }
     this->readReplies();
     if (this->closed || result == ReadResult::Open) {
         return;
@@ -108,6 +113,7 @@
 void ClientLink::processReply()
 {
     HttpMessage reply = this->reader.take();
+    this->replyBytes.release();
     // The link must not be used again if bytes follow the reply, because they answer no request, or
     // if the reply arrived before the whole request was sent, because the server would read the
     // rest of that request as a new one.
--- a/drivers/edge/client_link.h
+++ b/drivers/edge/client_link.h
@@ -2,6 +2,7 @@
 
 #include "core/http_message.h"
 #include "core/time.h"
+#include "drivers/edge/byte_budget.h"
 #include "drivers/edge/byte_stream.h"
 #include "drivers/edge/http_reader.h"
 
@@ -34,8 +35,9 @@
         std::function<void(ClientLink &, LinkEndKind)> onEnd;
     };
 
+    /// `replyBytes` limits what the links that share it buffer of their replies.
     ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id, const Hooks &hooks,
-               Instant now);
+               ByteBudget &replyBytes, Instant now);
 
     std::uint64_t id() const { return this->linkId; }
     /// Returns the encoded request.
@@ -72,6 +74,7 @@
     const Hooks &hooks;
     HttpReader reader;
     std::string input;
+    ByteBudget::Lease replyBytes;
     /// Writes the request that was not sent yet; empty if there is none.
     RequestWriter pendingRequest;
     Instant connectDeadline {};
--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -13,11 +13,13 @@
 /// The store is called about once per second. A connection that has been idle for longer than this
 /// may be dead.
 constexpr Duration maxIdleTime = std::chrono::seconds(8);
+/// All incomplete replies together may take so much of the memory.
+constexpr std::size_t maxReplyBytes = 48 * 1024 * 1024;
 
 } // namespace
 
 StoreLink::StoreLink(EdgeLoop &loop, std::string address, Sink sink)
-    : loop(loop), address(std::move(address)), sink(std::move(sink))
+    : loop(loop), address(std::move(address)), sink(std::move(sink)), replyBytes(maxReplyBytes)
 {
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
@@ -41,8 +43,8 @@
     if (isNew) {
         const std::uint64_t id = ++this->lastId;
         chosen = &this->links[id];
-        chosen->link =
-                std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks, now);
+        chosen->link = std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks,
+                                                    this->replyBytes, now);
     }
     chosen->operation = effect.operation;
     chosen->answerDeadline = now + effect.timeout;
--- a/drivers/edge/store_link.h
+++ b/drivers/edge/store_link.h
@@ -48,6 +48,7 @@
     std::string address;
     Sink sink;
     ClientLink::Hooks hooks;
+    ByteBudget replyBytes;
     std::unordered_map<std::uint64_t, Entry> links;
     std::uint64_t lastId = 0;
     std::uint64_t callCount = 0;
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// All incomplete replies together may take so much of the memory.
+constexpr std::size_t maxReplyBytes = 48 * 1024 * 1024;
 /// With less time a target would refuse the request at once.
 constexpr Duration minTimeLimit = std::chrono::milliseconds(1);
 /// How long an idle link is kept if the target's reply does not contain an idle time.
@@ -36,7 +38,7 @@
 } // namespace
 
 TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten)
-    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten))
+    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten)), replyBytes(maxReplyBytes)
 {
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
@@ -71,7 +73,8 @@
     if (isNew) {
         const std::uint64_t id = ++this->lastId;
         Entry &entry = this->links[id];
-        entry.link = std::make_unique<ClientLink>(this->loop, effect.address, id, this->hooks, now);
+        entry.link = std::make_unique<ClientLink>(this->loop, effect.address, id, this->hooks,
+                                                  this->replyBytes, now);
         entry.key = key;
         link = entry.link.get();
         ++this->openedCount;
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -55,6 +55,7 @@
     Sink sink;
     WriteObserver onWritten;
     ClientLink::Hooks hooks;
+    ByteBudget replyBytes;
     std::unordered_map<std::uint64_t, Entry> links;
     /// The idle links by key, the most recently used one last.
     std::unordered_map<std::string, std::vector<std::uint64_t>> idle;
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -26,13 +28,18 @@
     { }
 
     void startAttempt(std::uint64_t id, Instant deadlineAt)
+    {
+        this->startAttemptAt(this->listener.address().toString(), id, deadlineAt);
+    }
+
+    void startAttemptAt(const std::string &address, std::uint64_t id, Instant deadlineAt)
     {
         ForwardedRequest request;
         request.method = "GET";
         request.path = "/x";
         request.host = "h";
         request.requestId = "r" + std::to_string(id);
-        this->links.startAttempt({AttemptId(id), TargetId("t"), this->listener.address().toString(),
+        this->links.startAttempt({AttemptId(id), TargetId("t"), address,
                                   std::make_shared<const ForwardedRequest>(request), deadlineAt},
                                  monotonicNow());
     }
@@ -94,3 +101,110 @@
     Poco::Net::StreamSocket connection;
     CHECK(timeLimitOf(fixture.receiveRequest(connection)) == 1);
 }
+
+namespace {
+
+/// A target that sends bytes without end on each connection until the other side closes it.
+class EndlessTarget
+{
+public:
+    /// Sends the head and then the body again and again.
+    EndlessTarget(std::string head, const std::string &body)
+        : listener(Poco::Net::SocketAddress("127.0.0.1", 0)), head(std::move(head)),
+          body(repeat(body, 64 * 1024)), thread([this] { this->serve(); })
+    { }
+
+    ~EndlessTarget()
+    {
+        this->stopping = true;
+        this->thread.join();
+    }
+
+    std::string address() const { return this->listener.address().toString(); }
+    std::uint64_t bytesSent() const { return this->sent; }
+    bool wasClosed() const { return this->closed; }
+
+private:
+    static std::string repeat(const std::string &text, std::size_t bytes)
+    {
+        std::string all;
+        while (all.size() < bytes) {
+            all += text;
+        }
+        return all;
+    }
+
+    void serve()
+    {
+        while (!this->stopping
+               && !this->listener.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
+        }
+        if (this->stopping) {
+            return;
+        }
+        Poco::Net::StreamSocket connection = this->listener.acceptConnection();
+        connection.setSendTimeout(Poco::Timespan(0, 50'000));
+        std::string next = this->head;
+        while (!this->stopping) {
+            try {
+                const int count = connection.sendBytes(next.data(), static_cast<int>(next.size()));
+                this->sent += static_cast<std::uint64_t>(std::max(count, 0));
+                next = this->body;
+            } catch (const Poco::TimeoutException &) {
+                // The receiver reads no more for the moment.
+            } catch (const Poco::Exception &) {
+                this->closed = true;
+                return;
+            }
+        }
+    }
+
+    Poco::Net::ServerSocket listener;
+    std::string head;
+    std::string body;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> closed = false;
+    std::atomic<std::uint64_t> sent = 0;
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against a target whose bytes never end: the event loop must serve the other connections
+// meanwhile, and the buffered bytes must be limited.
+TEST_CASE("bytes without end neither block the event loop nor fill the memory")
+{
+    const auto [head, body] = GENERATE(table<std::string, std::string>(
+            {{"HTTP/1.1 200 OK\r\nA: ", "x"},
+             {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+             {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "x"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+             {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+             {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+             {"no reply at all", "x"}}));
+    INFO(head << body);
+    EndlessTarget target(head, body);
+    LinksFixture fixture;
+    fixture.startAttemptAt(target.address(), 1, monotonicNow() + 600ms);
+    Duration longest {};
+    const Instant end = monotonicNow() + 800ms;
+    bool closeSent = false;
+    while (monotonicNow() < end) {
+        const Instant before = monotonicNow();
+        fixture.loop.poll(1ms);
+        longest = std::max(longest, monotonicNow() - before);
+        if (!closeSent && monotonicNow() > end - 200ms) {
+            closeSent = true;
+            fixture.links.closeAttempt(AttemptId(1));
+        }
+    }
+    CHECK(longest < 100ms);
+    CHECK(target.bytesSent() < 64 * 1024 * 1024);
+    for (int i = 0; i < 50 && !target.wasClosed(); ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(target.wasClosed());
+}
