--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -41,7 +41,7 @@
     Neutral,     ///< Closed by this instance earlier; says nothing about the target.
 };
 
-/// Why no target was chosen.
+/// Why no target was chosen. Of several problems the last one in this order counts.
 enum class ChoiceProblem {
     None,
     NoTarget, ///< No usable replica is known.
