Log store calls that get no answer, and whether their connection was kept

The log told only that the store does not answer, not that one connection was dead while new ones worked. Event 212 tells how long a call waited and whether its connection was kept from an earlier call.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -33,6 +33,8 @@
          "The key-value service does not answer."},
         {LogEvent::StoreAvailable, "StoreAvailable", LogSeverity::Info,
          "The key-value service answers again."},
+        {LogEvent::StoreCallUnanswered, "StoreCallUnanswered", LogSeverity::Warning,
+         "A call to the key-value service got no answer; its connection was closed."},
         {LogEvent::InstanceListUnavailable, "InstanceListUnavailable", LogSeverity::Warning,
          "The instance list does not answer."},
         {LogEvent::InstanceListAvailable, "InstanceListAvailable", LogSeverity::Info,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -26,6 +26,7 @@
     CatalogueEntryRefused = 202,
     StoreUnavailable = 210,
     StoreAvailable = 211,
+    StoreCallUnanswered = 212,
     InstanceListUnavailable = 220,
     InstanceListAvailable = 221,
     TargetSeen = 300,
--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -47,6 +47,8 @@
                                                     this->replyBytes, now);
     }
     chosen->operation = effect.operation;
+    chosen->calledAt = now;
+    chosen->isKept = !isNew;
     chosen->answerDeadline = now + effect.timeout;
     ClientLink *link = chosen->link.get();
     if (isNew) {
@@ -62,20 +64,26 @@
 bool StoreLink::onReply(ClientLink &link, HttpMessage message)
 {
     Entry &entry = this->links.at(link.id());
-    StoreAnswered answered {entry.operation, wire::readStoreAnswer(message)};
+    this->report(entry, wire::readStoreAnswer(message));
     entry.operation = StoreOpId();
     link.idleUntil = monotonicNow() + maxIdleTime;
-    this->sink(std::move(answered));
     return true;
 }
 
+void StoreLink::report(const Entry &entry, StoreAnswer answer)
+{
+    answer.onKeptConnection = entry.isKept;
+    answer.elapsed = monotonicNow() - entry.calledAt;
+    this->sink(StoreAnswered {entry.operation, std::move(answer)});
+}
+
 void StoreLink::onEnd(ClientLink &link, LinkEndKind)
 {
     const auto found = this->links.find(link.id());
     Entry entry = std::move(found->second);
     this->links.erase(found);
     if (entry.operation != StoreOpId()) {
-        this->sink(StoreAnswered {entry.operation, StoreAnswer {}});
+        this->report(entry, StoreAnswer {});
     }
     this->loop.deleteLater(std::move(entry.link));
 }
--- a/drivers/edge/store_link.h
+++ b/drivers/edge/store_link.h
@@ -38,11 +38,15 @@
         std::unique_ptr<ClientLink> link;
         /// Zero while the link is idle.
         StoreOpId operation;
+        Instant calledAt {};
         Instant answerDeadline {};
+        /// True if the link was kept from an earlier call.
+        bool isKept = false;
     };
 
     bool onReply(ClientLink &link, HttpMessage message);
     void onEnd(ClientLink &link, LinkEndKind end);
+    void report(const Entry &entry, StoreAnswer answer);
 
     EdgeLoop &loop;
     std::string address;
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -179,6 +179,11 @@
 
 void Gateway::on(const StoreAnswered &event, GatewayContext &context)
 {
+    if (event.answer.status == StoreCallStatus::NoAnswer) {
+        context.log(LogEvent::StoreCallUnanswered,
+                    {{"keptConnection", event.answer.onKeptConnection ? "yes" : "no"},
+                     numberField("elapsedMs", toMilliseconds(event.answer.elapsed))});
+    }
     this->storeSync.onAnswer(event, context);
     this->registration.onAnswer(event, context);
     this->updateInstances(context.now);
--- a/logic/gateway/store_call.h
+++ b/logic/gateway/store_call.h
@@ -78,6 +78,10 @@
     std::string lastKey;
     std::uint64_t lease = 0;
     Duration timeToLive {};
+    /// Whether the call used a connection that was kept from an earlier call.
+    bool onKeptConnection = false;
+    /// The time from the call to its answer or end.
+    Duration elapsed {};
 };
 
 } // namespace lagoondeck
