--- a/standins/event_loop.cpp
+++ b/standins/event_loop.cpp
@@ -56,6 +56,7 @@
         }
         this->fireTimers();
     }
+    this->stopping = false;
 }
 
 Duration EventLoop::untilNextTimer() const
--- a/standins/event_loop.h
+++ b/standins/event_loop.h
@@ -30,7 +30,8 @@
     TimerId after(Duration delay, TimerHandler handler);
     void cancel(const TimerId &timer);
 
-    /// Runs until stop() is called, which is safe from a signal handler or another thread.
+    /// Runs until stop() is called, which is safe from a signal handler or another thread. May be
+    /// called again.
     void run();
     void stop() { this->stopping = true; }
 
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -128,7 +128,7 @@
         this->close();
         return;
     }
-    if (!this->refused) {
+    if (!this->refused && !this->silent) {
         this->input.append(buffer.data(), static_cast<std::size_t>(count));
         this->readRequests();
     }
@@ -136,6 +136,9 @@
 
 void HttpConnection::flush()
 {
+    if (this->silent) {
+        return;
+    }
     std::size_t sent = 0;
     try {
         while (sent < this->output.size()) {
@@ -248,6 +251,13 @@
     return found == this->connections.end() ? nullptr : found->second;
 }
 
+void HttpServer::silenceOpenConnections()
+{
+    for (const auto &[number, connection] : this->connections) {
+        connection->silence();
+    }
+}
+
 void HttpServer::accept()
 {
     Poco::Net::StreamSocket socket;
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -46,6 +46,8 @@
     /// Replies, then closes the connection when the client has closed it or after a short time.
     void replyAndClose(int status, const HttpHeaders &headers);
     void close();
+    /// Never sends or handles anything again, like a connection that the network has lost.
+    void silence() { this->silent = true; }
     /// Handles no request for the given time, to simulate the cost of setting up a connection.
     void delayRequests(Duration delay) { this->readyAt = EventLoop::now() + delay; }
 
@@ -71,6 +73,7 @@
     bool waiting = false;
     bool watchesWrite = false;
     bool refused = false;
+    bool silent = false;
     bool closed = false;
 };
 
@@ -96,6 +99,8 @@
     void listen();
     /// Closes the port and all connections at once, like a crash.
     void closeAll();
+    /// Silences all open connections. New ones work.
+    void silenceOpenConnections();
     bool isListening() const { return this->listening; }
     /// Returns the IP address and port.
     const std::string &boundAddress() const { return this->address; }
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -30,6 +30,9 @@
     /// Refuses all calls with the given status; 0 serves them again.
     void refuseWith(int status) { this->refusal = status; }
 
+    /// Silences all open connections. New ones work.
+    void silenceOpenConnections() { this->server.silenceOpenConnections(); }
+
     std::uint64_t calls() const { return this->callCount; }
     std::size_t countKeysWithPrefix(const std::string &prefix) const;
 
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -35,6 +35,13 @@
         R"("services":[{"name":"g0","max_conns":64},{"name":"g1","max_conns":64}],)"
         R"("limits":{"max_header_bytes":1024,"max_body_bytes":2048,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
+std::string configVersion(int version)
+{
+    std::string text = config;
+    text.replace(text.find("\"version\":3"), 11, "\"version\":" + std::to_string(version));
+    return text;
+}
+
 /// Runs a gateway in its own thread, with a stand-in store and stand-in targets.
 class GatewayFixture
 {
@@ -102,6 +109,12 @@
         }
     }
 
+    std::string status()
+    {
+        TestClient client(this->settings.controlAddress);
+        return client.call("GET", "/status").body;
+    }
+
     CallReply call(const std::string &path, const std::string &id, const std::string &body = "")
     {
         TestClient client(this->settings.callerAddress);
@@ -208,6 +221,29 @@
     CHECK(second < third);
 }
 
+// Guards against a new configuration that waits for the time limits of store calls on dead
+// connections.
+TEST_CASE("a configuration is in force in time after all connections to the store fell silent",
+          "[.][known-red]")
+{
+    GatewayFixture fixture;
+    REQUIRE(fixture.call("/one/x", "n1").status() == 200);
+    // The second connection to the store, of the registration, is idle.
+    std::this_thread::sleep_for(1s);
+    fixture.served->change([&] {
+        fixture.store.silenceOpenConnections();
+        fixture.store.put("op/config", configVersion(4));
+    });
+    const auto changedAt = std::chrono::steady_clock::now();
+    bool isInForce = false;
+    while (!isInForce && std::chrono::steady_clock::now() - changedAt < 8s) {
+        isInForce = fixture.status().find("\"configVersion\":4") != std::string::npos;
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(isInForce);
+    CHECK(std::chrono::steady_clock::now() - changedAt < fixture.settings.maxReactionTime);
+}
+
 // Guards against targets in need that get more than the limit that they state.
 TEST_CASE("a daemon sends its targets no more than they take and refuses the rest as not run")
 {
--- a/tests/standins/served_loop.h
+++ b/tests/standins/served_loop.h
@@ -20,13 +20,24 @@
 {
 public:
     explicit ServedLoop(EventLoop &loop) : loop(loop), thread([&loop] { loop.run(); }) { }
-    ~ServedLoop()
+    ~ServedLoop() { this->stop(); }
+
+    /// Calls a function that changes a stand-in, while the loop does not run.
+    template <typename Function>
+    void change(Function function)
+    {
+        this->stop();
+        function();
+        this->thread = std::thread([this] { this->loop.run(); });
+    }
+
+private:
+    void stop()
     {
         this->loop.stop();
         this->thread.join();
     }
 
-private:
     EventLoop &loop;
     std::thread thread;
 };
