Read the store's history from its answers, log when it changes, and show it

The log could not tell a store that was restored from a copy from one that is available again. Every answer names its history; event 213, the status and the gauge lagoondeck_store_history show it.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -35,6 +35,8 @@
          "The key-value service answers again."},
         {LogEvent::StoreCallUnanswered, "StoreCallUnanswered", LogSeverity::Warning,
          "A call to the key-value service got no answer; its connection was closed."},
+        {LogEvent::StoreRestored, "StoreRestored", LogSeverity::Warning,
+         "The key-value service was restored from a copy of its data; all data is read again."},
         {LogEvent::InstanceListUnavailable, "InstanceListUnavailable", LogSeverity::Warning,
          "The instance list does not answer."},
         {LogEvent::InstanceListAvailable, "InstanceListAvailable", LogSeverity::Info,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -27,6 +27,7 @@
     StoreUnavailable = 210,
     StoreAvailable = 211,
     StoreCallUnanswered = 212,
+    StoreRestored = 213,
     InstanceListUnavailable = 220,
     InstanceListAvailable = 221,
     TargetSeen = 300,
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -110,6 +110,9 @@
                static_cast<double>(status.configVersion));
     writeGauge(writer, "lagoondeck_belief_age_seconds", "Since the store was heard last.",
                std::chrono::duration<double>(status.storeDataAge).count());
+    writeGauge(writer, "lagoondeck_store_history",
+               "Increases each time that the store is restored from a copy.",
+               static_cast<double>(status.storeHistory));
     writeGauge(writer, "lagoondeck_store_away", "1 while the store does not answer.",
                status.storeUnavailable ? 1 : 0);
     writeGauge(writer, "lagoondeck_targets", "Targets known.", static_cast<double>(status.targets));
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -316,6 +316,7 @@
                            {"attempts", status.attempts},
                            {"storeAway", status.storeUnavailable},
                            {"beliefAgeMs", toMilliseconds(status.storeDataAge)},
+                           {"storeHistory", status.storeHistory},
                            {"storeCalls", this->store.calls()},
                            {"connectionsOpened", this->targets.connectionsOpened()},
                            {"requestsSent", this->targets.requestsSent()},
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -347,6 +347,7 @@
     status.limitedAttempts = this->targets.limits().counts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.storeDataAge = now - this->storeSync.lastConfirmedAt();
+    status.storeHistory = this->storeSync.history();
     return status;
 }
 
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -35,6 +35,8 @@
     /// How long ago the known state was last confirmed by the store or by a member that had read
     /// the store.
     Duration storeDataAge {};
+    /// The store's history; it increases each time that the store is restored from a copy.
+    std::uint64_t storeHistory = 0;
     ForwarderCounts counts;
     DelegatorCounts delegation;
     /// Queries that this instance coordinated for other members.
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -99,6 +99,7 @@
         return;
     }
     this->operation.reset();
+    this->noticeHistory(event.answer.history, context);
     switch (event.answer.status) {
     case StoreCallStatus::Done:
         this->unansweredOnKeptConnection = false;
@@ -133,6 +134,19 @@
     this->callStore(context);
 }
 
+void StoreSync::noticeHistory(std::uint64_t history, GatewayContext &context)
+{
+    if (history <= this->knownHistory) {
+        return;
+    }
+    if (this->knownHistory != 0) {
+        context.log(LogEvent::StoreRestored,
+                    {numberField("history", static_cast<std::int64_t>(history)),
+                     numberField("revisionBefore", static_cast<std::int64_t>(this->revision))});
+    }
+    this->knownHistory = history;
+}
+
 void StoreSync::learnAnswerTime(const StoreAnswer &answer)
 {
     // A watch that returns changes may have waited for them.
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -55,6 +55,8 @@
     std::vector<std::string> relayReceivers(const InstanceId &origin) const;
     /// Returns the peer addresses of all members except this instance.
     std::vector<std::string> otherMembers() const;
+    /// Returns the newest history of the store that this instance has heard of.
+    std::uint64_t history() const { return this->knownHistory; }
     const StoreHealth &storeHealth() const { return this->health; }
     /// Returns when the known state was last confirmed by the store or by a member that had read
     /// the store.
@@ -64,6 +66,7 @@
     void callStore(GatewayContext &context);
     void onPage(const StoreAnswer &answer, GatewayContext &context);
     void onChanges(const StoreAnswer &answer, GatewayContext &context);
+    void noticeHistory(std::uint64_t history, GatewayContext &context);
     void learnAnswerTime(const StoreAnswer &answer);
     void onFailure(StoreCallStatus status, GatewayContext &context);
     void startFullRead();
@@ -128,6 +131,8 @@
     bool fullReadRunning = true;
     bool targetsKnown = false;
     std::string lastReadKey;
+    /// The newest history of the store that this instance has heard of.
+    std::uint64_t knownHistory = 0;
     /// The revision at which the full read began, or up to which all changes are known.
     std::uint64_t revision = 0;
     /// The keys that the running full read has returned so far.
--- a/tests/platform/test_store_value_codec.cpp
+++ b/tests/platform/test_store_value_codec.cpp
@@ -119,6 +119,21 @@
     CHECK(callStatusOf(200, R"({"items":[{"key":1}]})") == StoreCallStatus::Unreadable);
 }
 
+TEST_CASE("every answer of the store tells its history")
+{
+    HttpMessage reply;
+    reply.status = 410;
+    CHECK(wire::readStoreAnswer(reply).history == 0);
+    for (const int status : {200, 404, 410, 429, 503}) {
+        reply.status = status;
+        reply.body = "half a bod";
+        reply.fields = {{"store-era", "7"}};
+        CHECK(wire::readStoreAnswer(reply).history == 7);
+        reply.fields = {{"Store-Era", "7x"}};
+        CHECK(wire::readStoreAnswer(reply).history == 0);
+    }
+}
+
 TEST_CASE("events of a watch keep their order and kinds")
 {
     HttpMessage reply;
