Notice that a connection between members is dead, and connect again

An instance that learned of a configuration told the others over connections that had gone silent without a reset; ZeroMQ kept them for as long as TCP retransmits, minutes. Every member then had to call the store itself.

Unacknowledged bytes now end a connection after 1.5 s, an attempt to connect is replaced after 1 s, and keep-alive probes remove dead accepted connections.

--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -33,6 +33,15 @@
 constexpr int minReconnectIntervalMs = 100;
 constexpr int maxReconnectIntervalMs = 2000;
 constexpr int handshakeTimeout = 2000;
+/// A connection is closed if the peer does not acknowledge sent bytes within this time. Lost packets
+/// are sent again several times within it.
+constexpr int unacknowledgedTimeoutMs = 1500;
+/// A new attempt to connect replaces one whose packets are sent again ever more rarely.
+constexpr int connectTimeoutMs = 1000;
+/// Accepted connections only receive, so that only keep-alive probes show that one is dead.
+constexpr int keepAliveIdleSeconds = 15;
+constexpr int keepAliveIntervalSeconds = 5;
+constexpr int keepAliveProbes = 3;
 constexpr int listenBacklog = 512;
 /// Limits the messages received per poll, so that a flood of them does not delay sending.
 constexpr int maxReceivedPerPoll = 256;
@@ -58,6 +67,17 @@
     socket.set(zmq::sockopt::handshake_ivl, handshakeTimeout);
 }
 
+/// Lets the operating system notice a connection that has fallen silent without a reset.
+void setSilenceTimeouts(zmq::socket_t &socket)
+{
+    socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedTimeoutMs);
+    socket.set(zmq::sockopt::connect_timeout, connectTimeoutMs);
+    socket.set(zmq::sockopt::tcp_keepalive, 1);
+    socket.set(zmq::sockopt::tcp_keepalive_idle, keepAliveIdleSeconds);
+    socket.set(zmq::sockopt::tcp_keepalive_intvl, keepAliveIntervalSeconds);
+    socket.set(zmq::sockopt::tcp_keepalive_cnt, keepAliveProbes);
+}
+
 } // namespace
 
 PeerSocket::PeerSocket(std::string bindAddress, std::string peerKey, Sink sink, LogSink logSink)
@@ -90,6 +110,7 @@
         this->wakeSender.connect(wakeAddress);
         this->router = zmq::socket_t(this->context, zmq::socket_type::router);
         setSocketLimits(this->router);
+        setSilenceTimeouts(this->router);
         this->router.set(zmq::sockopt::backlog, listenBacklog);
         this->configureEncryption(this->router, true);
         this->router.bind("tcp://" + this->bindAddress);
@@ -294,6 +315,7 @@
     try {
         zmq::socket_t socket(this->context, zmq::socket_type::dealer);
         setSocketLimits(socket);
+        setSilenceTimeouts(socket);
         socket.set(zmq::sockopt::immediate, true);
         socket.set(zmq::sockopt::reconnect_ivl, minReconnectIntervalMs);
         socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectIntervalMs);
