Send nothing to a target whose replies say that it is leaving

A target that leaves says so in all its replies, and for some this is the only sign: their entry in the store stays ready or is removed late. Nothing read the header, so requests went there until the store told.

A reply of the target itself that says so takes it out of use at once, on this instance, and an older entry in the store does not bring it back, unless another process runs under its id.

--- a/core/http_message.h
+++ b/core/http_message.h
@@ -73,6 +73,8 @@
     /// states no limit.
     std::optional<double> requestLimit;
     std::string body;
+    /// Whether the target says that it is leaving.
+    bool isTargetLeaving = false;
     /// Whether another process than the addressed target sent the reply.
     bool otherInstance = false;
     /// Whether the reply carries the id of another request than the expected one.
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -201,6 +201,7 @@
     const TargetOutcome outcome = reply.kind == ReplyClass::Success    ? TargetOutcome::Answered
             : reply.kind == ReplyClass::NotRun && !reply.otherInstance ? TargetOutcome::Shed
                                                                        : TargetOutcome::Failed;
+    this->targets.onReply(*this->attempts.at(event.attempt).target, reply, context);
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
     this->updateLimit(attempt, reply, context);
     if (outcome == TargetOutcome::Answered) {
--- /dev/null
+++ b/logic/gateway/target_announcements.cpp
@@ -0,0 +1,25 @@
+#include "logic/gateway/target_announcements.h"
+
+namespace lagoondeck {
+
+namespace {
+
+/// A process that is leaving ends before this time.
+constexpr Duration maxLeavingTime = std::chrono::minutes(5);
+
+} // namespace
+
+void TargetAnnouncements::addLeaving(const TargetRecord &target, Instant now)
+{
+    std::erase_if(this->leaving,
+                  [now](const auto &entry) { return now - entry.second.at > maxLeavingTime; });
+    this->leaving.insert_or_assign(target.id, Announcement {target.startedAtMs, now});
+}
+
+bool TargetAnnouncements::isLeaving(const TargetRecord &target) const
+{
+    const auto found = this->leaving.find(target.id);
+    return found != this->leaving.end() && found->second.startedAtMs == target.startedAtMs;
+}
+
+} // namespace lagoondeck
--- a/logic/gateway/target_node.h
+++ b/logic/gateway/target_node.h
@@ -15,6 +15,8 @@
     /// False if the store does not list the target any more or if it is leaving; it then gets no
     /// new requests.
     bool usable = true;
+    /// Whether the target's own replies said that it is leaving. The store may not know it yet.
+    bool hasAnnouncedLeaving = false;
     /// How many requests of this instance are running at the target.
     std::uint32_t inFlight = 0;
     /// When each of these requests was sent.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -108,8 +108,7 @@
         if (known.record.startedAtMs == record.startedAtMs && known.record.address == record.address
             && known.record.group == record.group) {
             known.record = record;
-            this->changes += known.usable == record.leaving ? 1 : 0;
-            known.usable = !record.leaving;
+            this->setUsable(known, !record.leaving && !known.hasAnnouncedLeaving);
             return;
         }
         // Another process runs under the same id, so the learned values are invalid.
@@ -117,13 +116,33 @@
     }
     auto node = std::make_unique<TargetNode>();
     node->record = record;
-    node->usable = !record.leaving;
+    node->hasAnnouncedLeaving = this->announcements.isLeaving(record);
+    node->usable = !record.leaving && !node->hasAnnouncedLeaving;
     node->warmupUntil = now + record.warmupLeft;
     this->group(record.group).targets.push_back(node.get());
     this->targets.emplace(record.id, std::move(node));
     ++this->changes;
 }
 
+void TargetRegistry::setUsable(TargetNode &target, bool usable)
+{
+    this->changes += target.usable != usable ? 1 : 0;
+    target.usable = usable;
+}
+
+void TargetRegistry::onReply(TargetNode &target, const ForwardedReply &reply,
+                             GatewayContext &context)
+{
+    if (reply.kind == ReplyClass::Unusable || reply.otherInstance) {
+        return;
+    }
+    if (reply.isTargetLeaving && !std::exchange(target.hasAnnouncedLeaving, true)) {
+        this->announcements.addLeaving(target.record, context.now);
+        this->setUsable(target, false);
+        context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
+    }
+}
+
 void TargetRegistry::detach(TargetNode &target)
 {
     auto &replicas = this->group(target.record.group).targets;
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -5,6 +5,7 @@
 #include "logic/context.h"
 #include "logic/gateway/latency_model.h"
 #include "logic/gateway/retry_budget.h"
+#include "logic/gateway/target_announcements.h"
 #include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
 
@@ -113,6 +114,8 @@
     /// Returns the requests per second that the limited replicas of the group take.
     double limitedRate(const TargetGroup &group, Instant now) const;
     void onSent(TargetNode &target, TraceKind cause, Instant now);
+    /// Applies what a target says of itself in a reply.
+    void onReply(TargetNode &target, const ForwardedReply &reply, GatewayContext &context);
     void onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
                  const LatencyModel &model, Instant now);
 
@@ -150,6 +153,7 @@
     CostedTarget cheapest(std::vector<TargetNode *> candidates, const LatencyModel &model,
                           Instant now, RandomEngine &random) const;
     void detach(TargetNode &target);
+    void setUsable(TargetNode &target, bool usable);
     void removeIdleRetired();
 
     std::unordered_map<TargetId, std::unique_ptr<TargetNode>> targets;
@@ -157,6 +161,7 @@
     std::vector<std::unique_ptr<TargetNode>> retired;
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
     TargetLimits targetLimits;
+    TargetAnnouncements announcements;
     FailureDomain failureDomain;
     std::size_t instances = 1;
     std::size_t coordinatorCount = 0;
--- a/tests/platform/test_message_codec.cpp
+++ b/tests/platform/test_message_codec.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+TEST_CASE("a reply tells whether its target is leaving")
+{
+    CHECK(wire::readTargetReply(reply(200, {{"server-leaving", "1"}}), "r").isTargetLeaving);
+    CHECK_FALSE(wire::readTargetReply(reply(200, {}), "r").isTargetLeaving);
+}
+
 TEST_CASE("a request is read with its id, host and time limit")
 {
     const auto read = wire::readRequest(
