Send nothing to a target that refused a request and asked for a pause, until it ends

A target that turns a request away with 503 may say for how long it wants no others from the instance.

While the pause lasts the target is not chosen, whatever its group's other replicas do; a request that no replica can take is refused at once as not run, and a query that can't reach its minimum coverage before its parts are sent. The three tests fail without the line that sets the pause.

--- a/core/http_message.h
+++ b/core/http_message.h
@@ -75,6 +75,8 @@
     std::string body;
     /// Whether the target says that it is leaving.
     bool isTargetLeaving = false;
+    /// For how long the target, which refused the request, wants no others from this instance.
+    Duration requestedPause {};
     /// Whether another process than the addressed target sent the reply.
     bool otherInstance = false;
     /// Whether the reply carries the id of another request than the expected one.
--- a/logic/gateway/exchange_trace.cpp
+++ b/logic/gateway/exchange_trace.cpp
@@ -32,6 +32,8 @@
         return "no-target";
     case TraceKind::Avoided:
         return "avoided";
+    case TraceKind::Paused:
+        return "paused";
     case TraceKind::Limited:
         return "limited";
     case TraceKind::NoBudget:
--- a/logic/gateway/exchange_trace.h
+++ b/logic/gateway/exchange_trace.h
@@ -23,6 +23,7 @@
     Unreachable,
     NoTarget, ///< No usable replica is known.
     Avoided,  ///< All replicas failed recently, and the other parts reach the minimum coverage.
+    Paused,   ///< All usable replicas asked this instance to pause.
     Limited,  ///< The limits of all replicas leave no request.
     NoBudget, ///< Another attempt would exceed the group's retry budget.
 };
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -129,7 +129,7 @@
     for (Part &part : exchange.parts) {
         part.group->budget.onRequest(context.now);
     }
-    if (this->refuseLimited(exchange, context)) {
+    if (this->refuseRestricted(exchange, context)) {
         return;
     }
     for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -135,9 +135,9 @@
                    GatewayContext &context);
     /// Gives up a part because the limits of its replicas leave no request.
     void withhold(Exchange &exchange, std::size_t index, GatewayContext &context);
-    /// Refuses a gathered exchange that can't reach its minimum coverage because of limits. Nothing
-    /// has been sent for it.
-    bool refuseLimited(Exchange &exchange, GatewayContext &context);
+    /// Refuses a gathered exchange that can't reach its minimum coverage because of limits or
+    /// pauses. Nothing has been sent for it.
+    bool refuseRestricted(Exchange &exchange, GatewayContext &context);
     /// Returns true if the other parts can reach the minimum coverage without this one.
     bool isDispensable(const Exchange &exchange, const Part &part) const;
 
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -73,8 +73,9 @@
         this->withhold(exchange, index, context);
     } else {
         part.phase = PartPhase::Abandoned;
-        exchange.recordStep(choice.problem == ChoiceProblem::Avoided ? TraceKind::Avoided
-                                                                     : TraceKind::NoTarget,
+        exchange.recordStep(choice.problem == ChoiceProblem::Avoided          ? TraceKind::Avoided
+                                    : choice.problem == ChoiceProblem::Paused ? TraceKind::Paused
+                                                                              : TraceKind::NoTarget,
                             index, {}, context.now);
     }
 }
@@ -128,19 +129,21 @@
     this->targets.limits().onWithheld();
 }
 
-bool Forwarder::refuseLimited(Exchange &exchange, GatewayContext &context)
+bool Forwarder::refuseRestricted(Exchange &exchange, GatewayContext &context)
 {
-    if (!exchange.route->gathers() || this->targets.limits().empty()) {
+    if (!exchange.route->gathers() || !this->targets.hasRestrictions(context.now)) {
         return false;
     }
     std::vector<ChoiceProblem> problems;
     for (const Part &part : exchange.parts) {
-        problems.push_back(this->targets.limitProblem(*part.group, {exchange.urgencyRank, false},
-                                                      context.now));
+        problems.push_back(this->targets.restrictionProblem(
+                *part.group, {exchange.urgencyRank, false}, context.now));
     }
     const auto servable = std::ranges::count(problems, ChoiceProblem::None);
-    if (std::ranges::find(problems, ChoiceProblem::Limited) == problems.end()
-        || exchange.meetsMinimumCoverage(static_cast<std::size_t>(servable))) {
+    const bool isRestricted = std::ranges::any_of(problems, [](ChoiceProblem problem) {
+        return problem == ChoiceProblem::Limited || problem == ChoiceProblem::Paused;
+    });
+    if (!isRestricted || exchange.meetsMinimumCoverage(static_cast<std::size_t>(servable))) {
         return false;
     }
     for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
@@ -149,6 +152,8 @@
             // Too late for this exchange, but more are likely to come.
             this->targets.requestLoan(*exchange.parts[i].group, context.now, context.random);
             this->withhold(exchange, i, context);
+        } else if (problems[i] == ChoiceProblem::Paused) {
+            exchange.recordStep(TraceKind::Paused, i, {}, context.now);
         }
     }
     this->fail(exchange, context);
--- a/logic/gateway/target_node.h
+++ b/logic/gateway/target_node.h
@@ -30,6 +30,8 @@
     Instant learnedAt {};
     /// Until then other replicas are preferred.
     Instant avoidUntil {};
+    /// Until then the target wants no requests of this instance.
+    Instant pausedUntil {};
     /// Until then the target is still warming up after its start.
     Instant warmupUntil {};
     /// Returns true if no request was answered since the last failure.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -133,10 +133,15 @@
 void TargetRegistry::onReply(TargetNode &target, const ForwardedReply &reply,
                              GatewayContext &context)
 {
-    if (reply.kind == ReplyClass::Unusable || reply.otherInstance) {
+    if (reply.otherRequest || reply.otherInstance) {
         return;
     }
-    if (reply.isTargetLeaving && !std::exchange(target.hasAnnouncedLeaving, true)) {
+    if (reply.requestedPause > Duration(0)) {
+        target.pausedUntil = std::max(target.pausedUntil, context.now + reply.requestedPause);
+        this->lastPauseEnd = std::max(this->lastPauseEnd, target.pausedUntil);
+    }
+    if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable
+        && !std::exchange(target.hasAnnouncedLeaving, true)) {
         this->announcements.addLeaving(target.record, context.now);
         this->setUsable(target, false);
         context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
@@ -272,10 +277,11 @@
 void TargetRegistry::requestLoan(const TargetGroup &group, Instant now, RandomEngine &random)
 {
     std::vector<const TargetNode *> replicas;
-    std::ranges::copy_if(
-            group.targets, std::back_inserter(replicas), [&](const TargetNode *target) {
-                return target->usable && this->targetLimits.mayRequestLoan(target->record.id, now);
-            });
+    std::ranges::copy_if(group.targets, std::back_inserter(replicas),
+                         [&](const TargetNode *target) {
+                             return target->usable && now >= target->pausedUntil
+                                     && this->targetLimits.mayRequestLoan(target->record.id, now);
+                         });
     if (!replicas.empty()) {
         this->targetLimits.requestLoan((*pickRandom(replicas, random))->record.id, now, random);
     }
@@ -294,13 +300,18 @@
     return this->targetLimits.lend(event.wishes, context.now);
 }
 
-ChoiceProblem TargetRegistry::limitProblem(TargetGroup &group, const LimitUse &use, Instant now)
+ChoiceProblem TargetRegistry::restrictionProblem(TargetGroup &group, const LimitUse &use,
+                                                 Instant now)
 {
     ChoiceProblem problem = ChoiceProblem::NoTarget;
     for (const TargetNode *target : group.targets) {
         if (!target->usable) {
             continue;
         }
+        if (now < target->pausedUntil) {
+            problem = std::max(problem, ChoiceProblem::Paused);
+            continue;
+        }
         if (this->targetLimits.allows(target->record.id, use, now)) {
             return ChoiceProblem::None;
         }
@@ -330,7 +341,9 @@
             || std::ranges::find(terms.excluded, target->record.id) != terms.excluded.end()) {
             continue;
         }
-        if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
+        if (now < target->pausedUntil) {
+            problem = std::max(problem, ChoiceProblem::Paused);
+        } else if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
             problem = std::max(problem, ChoiceProblem::Limited);
             if (this->hasCapacity(*target, group)
                 && this->targetLimits.mayRequestLoan(target->record.id, now)) {
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -46,6 +46,7 @@
 enum class ChoiceProblem {
     None,
     NoTarget, ///< No usable replica is known.
+    Paused,   ///< All usable replicas asked this instance to pause.
     Limited,  ///< The limits of all usable replicas leave no request.
     Busy,     ///< This instance's share of the connection cap is used up at all replicas.
     Avoided,  ///< All replicas that have capacity failed recently.
@@ -108,9 +109,9 @@
     LimitGrants lendLimits(const LimitRequested &event, GatewayContext &context);
     /// Returns the target's group, or null if the target is not known.
     TargetGroup *groupOf(const TargetId &target);
-    /// Returns the problem if no usable replica may get a request now because of limits, or if
-    /// there is none. Does not check connections or failures.
-    ChoiceProblem limitProblem(TargetGroup &group, const LimitUse &use, Instant now);
+    /// Returns the problem if no usable replica may get a request now because of limits or pauses,
+    /// or if there is none. Does not check connections or failures.
+    ChoiceProblem restrictionProblem(TargetGroup &group, const LimitUse &use, Instant now);
     /// Returns the requests per second that the limited replicas of the group take.
     double limitedRate(const TargetGroup &group, Instant now) const;
     void onSent(TargetNode &target, TraceKind cause, Instant now);
@@ -132,6 +133,11 @@
         return this->targets;
     }
     std::size_t instanceCount() const { return this->instances; }
+    /// Returns whether some target limits its requests or asked this instance to pause.
+    bool hasRestrictions(Instant now) const
+    {
+        return !this->targetLimits.empty() || now < this->lastPauseEnd;
+    }
     /// The limits that targets state.
     TargetLimits &limits() { return this->targetLimits; }
     const TargetLimits &limits() const { return this->targetLimits; }
@@ -162,6 +168,8 @@
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
     TargetLimits targetLimits;
     TargetAnnouncements announcements;
+    /// When the last pause that some target asked for ends.
+    Instant lastPauseEnd {};
     FailureDomain failureDomain;
     std::size_t instances = 1;
     std::size_t coordinatorCount = 0;
--- a/tests/logic/gateway/test_target_announcements.cpp
+++ b/tests/logic/gateway/test_target_announcements.cpp
@@ -105,3 +105,70 @@
     harness.advance(milliseconds(500));
     CHECK_FALSE(usedTargets(harness).empty());
 }
+
+namespace {
+
+ForwardedReply refusalWithPause(Duration pause)
+{
+    ForwardedReply reply;
+    reply.kind = ReplyClass::NotRun;
+    reply.status = 503;
+    reply.requestedPause = pause;
+    return reply;
+}
+
+} // namespace
+
+// Guards against further requests to an overloaded target that asked for a pause.
+TEST_CASE("overload: a target that asks for a pause gets no requests until it ends")
+{
+    GatewayHarness harness = gatewayWith({target("t", "g"), target("u", "g")});
+    const std::size_t before = harness.started.size();
+    harness.sendRequest("/p/x");
+    const StartAttempt attempt = harness.started.at(before);
+    harness.apply(AttemptReplied {
+            attempt.attempt,
+            std::make_shared<ForwardedReply>(refusalWithPause(std::chrono::seconds(2)))});
+    harness.advance(milliseconds(1900));
+    CHECK_FALSE(usedTargets(harness).contains(attempt.target));
+    harness.advance(milliseconds(200));
+    CHECK(usedTargets(harness).contains(attempt.target));
+}
+
+TEST_CASE("overload: a request whose only target paused is refused at once as not run")
+{
+    GatewayHarness harness = gatewayWith({target("t", "g")});
+    exchangeWith(harness, refusalWithPause(std::chrono::seconds(2)));
+    harness.advance(milliseconds(600));
+    const std::size_t before = harness.started.size();
+    const ExchangeId id = harness.sendRequest("/p/z");
+    CHECK(harness.started.size() == before);
+    REQUIRE(harness.answerOf(id));
+    CHECK(harness.answerOf(id)->status == 503);
+    CHECK(harness.answerOf(id)->retryAfter > Duration(0));
+}
+
+// Guards against parts that are sent for an answer that can't reach its minimum coverage.
+TEST_CASE("overload: a query is refused before its parts are sent if too many shards paused")
+{
+    constexpr std::size_t shards = 4;
+    GatewayHarness harness(configOf({gatherRoute("/q/", shards, 0.75)}), replicas(shards, 1));
+    harness.sendRequest("/q/1");
+    REQUIRE(harness.started.size() == shards);
+    for (std::size_t i = 0; i < shards; ++i) {
+        const AttemptId attempt = harness.started[i].attempt;
+        if (i < 2) {
+            harness.apply(AttemptReplied {
+                    attempt,
+                    std::make_shared<ForwardedReply>(refusalWithPause(std::chrono::seconds(2)))});
+        } else {
+            harness.reply(attempt, ReplyClass::Success);
+        }
+    }
+    harness.advance(milliseconds(600));
+    const std::size_t before = harness.started.size();
+    const ExchangeId id = harness.sendRequest("/q/2");
+    CHECK(harness.started.size() == before);
+    REQUIRE(harness.answerOf(id));
+    CHECK(harness.answerOf(id)->status == 503);
+}
--- a/tests/platform/test_message_codec.cpp
+++ b/tests/platform/test_message_codec.cpp
@@ -33,6 +33,22 @@
 
 } // namespace
 
+TEST_CASE("a target that refuses a request may ask for a pause")
+{
+    const auto pauseOf = [](int status, const std::string &text) {
+        return wire::readTargetReply(reply(status, {{"Not-Executed", "1"}, {"Retry-After", text}}),
+                                     "r")
+                .requestedPause;
+    };
+    CHECK(pauseOf(503, "2") == std::chrono::seconds(2));
+    CHECK(pauseOf(503, "0.25") == std::chrono::milliseconds(250));
+    CHECK(pauseOf(503, "1e300") <= std::chrono::hours(1));
+    for (const char *text : {"", "-1", "soon", "2 s", "nan"}) {
+        CHECK(pauseOf(503, text) == Duration(0));
+    }
+    CHECK(pauseOf(429, "2") == Duration(0));
+}
+
 TEST_CASE("a reply tells whether its target is leaving")
 {
     CHECK(wire::readTargetReply(reply(200, {{"server-leaving", "1"}}), "r").isTargetLeaving);
