--- a/core/store_position.h
+++ b/core/store_position.h
@@ -14,7 +14,7 @@
     std::uint64_t history = 0;
     std::uint64_t revision = 0;
 
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const StorePosition &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace lagoondeck
--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -33,8 +33,8 @@
 constexpr int minReconnectIntervalMs = 100;
 constexpr int maxReconnectIntervalMs = 2000;
 constexpr int handshakeTimeout = 2000;
-/// A connection is closed if the peer does not acknowledge sent bytes within this time. Lost packets
-/// are sent again several times within it.
+/// A connection is closed if the peer does not acknowledge sent bytes within this time. Lost
+/// packets are sent again several times within it.
 constexpr int unacknowledgedTimeoutMs = 1500;
 /// A new attempt to connect replaces one whose packets are sent again ever more rarely.
 constexpr int connectTimeoutMs = 1000;
