--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -63,6 +63,18 @@
     CHECK(read->update.toRevision == 5);
 }
 
+TEST_CASE("a store update keeps the history of its revisions and the sender's configuration")
+{
+    StoreUpdate update;
+    update.toRevision = 5;
+    update.history = 3;
+    update.configVersion = 12;
+    const auto read = readStoreUpdate(*writeStoreUpdate(update, "b", "127.0.0.1:2"));
+    REQUIRE(read);
+    CHECK(read->update.history == 3);
+    CHECK(read->update.configVersion == 12);
+}
+
 TEST_CASE("a report of limits is decoded to the values that were encoded")
 {
     const LimitReport report {InstanceId("b"), 99, {{TargetId("t1"), 33.1}, {TargetId("t2"), {}}}};
