Log and count what tells an instance's broken path from faults of single targets

Cause: nothing recorded when a target last replied, how attempts end, or whether several targets fail while no other one answers, so the logs could not tell a broken path of the instance from faults of its targets.

Change: PathEvidence keeps the targets that fail since the last reply or the last connection; events 360 and 362, metrics lagoondeck_attempt_ends_total and lagoondeck_target_reply_age_seconds. No decision uses it yet.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -68,6 +68,11 @@
          "A target limits the requests that it takes from the whole fleet."},
         {LogEvent::TargetLimitEnded, "TargetLimitEnded", LogSeverity::Info,
          "A target no longer limits its requests."},
+        {LogEvent::TargetPathSuspected, "TargetPathSuspected", LogSeverity::Warning,
+         "Several targets fail and no other one answers; this instance's path to them may be "
+         "broken."},
+        {LogEvent::TargetPathUp, "TargetPathUp", LogSeverity::Info,
+         "This instance reaches the targets again."},
         {LogEvent::MemberJoined, "MemberJoined", LogSeverity::Info,
          "An entry instance joined the membership."},
         {LogEvent::MemberSuspected, "MemberSuspected", LogSeverity::Warning,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -44,6 +44,8 @@
     RequestQuarantined = 340,
     TargetLimited = 350,
     TargetLimitEnded = 351,
+    TargetPathSuspected = 360,
+    TargetPathUp = 362,
     MemberJoined = 400,
     MemberSuspected = 401,
     MemberLost = 402,
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -67,6 +67,17 @@
     writer.sample({{"cause", "first"}}, status.counts.first);
     writer.sample({{"cause", "hedge"}}, status.counts.hedges);
     writer.sample({{"cause", "retry"}}, status.counts.retries);
+    writer.begin("lagoondeck_attempt_ends_total", MetricKind::Counter,
+                 "Attempts by how they ended.");
+    writer.sample({{"end", "replied"}}, status.counts.replied);
+    writer.sample({{"end", "unreachable"}}, status.counts.unreachable);
+    writer.sample({{"end", "lost"}}, status.counts.lost);
+    writer.sample({{"end", "malformed"}}, status.counts.malformed);
+    writer.sample({{"end", "closed"}}, status.counts.closed);
+    if (status.targetReplyAge) {
+        writeGauge(writer, "lagoondeck_target_reply_age_seconds", "Since a target replied last.",
+                   std::chrono::duration<double>(*status.targetReplyAge).count());
+    }
     writer.begin("lagoondeck_attempt_write_delay_seconds", MetricKind::Histogram,
                  "From the start of an attempt until its request was written.");
     writer.sample({}, this->writeDelays);
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -118,7 +118,7 @@
         link.idleUntil = monotonicNow() + std::max(idleTime - idleMargin, idleTime / 2);
         this->idle[entry.key].push_back(link.id());
     }
-    this->sink(AttemptReplied {attempt, std::move(reply)});
+    this->sink(AttemptReplied {attempt, std::move(reply), std::exchange(entry.isNew, false)});
     return true;
 }
 
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -45,6 +45,8 @@
         std::string key;
         AttemptId attempt;
         std::shared_ptr<const ForwardedRequest> request;
+        /// Whether no reply has been read on the connection.
+        bool isNew = true;
     };
 
     bool onReply(ClientLink &link, HttpMessage message);
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -202,6 +202,7 @@
             : reply.kind == ReplyClass::NotRun && !reply.otherInstance ? TargetOutcome::Shed
                                                                        : TargetOutcome::Failed;
     this->targets.onReply(*this->attempts.at(event.attempt).target, reply, context);
+    this->observeReply(event, context.now);
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
     this->updateLimit(attempt, reply, context);
     if (outcome == TargetOutcome::Answered) {
@@ -238,6 +239,7 @@
             : event.kind == AttemptEndKind::Lost   ? TargetOutcome::Lost
                                                    : TargetOutcome::Failed;
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
+    this->observeEnd(event.kind, attempt.targetId, context.now);
     Exchange *exchange = attempt.exchange ? this->find(*attempt.exchange) : nullptr;
     if (exchange != nullptr && !this->dropUnpermitted(*exchange, context)) {
         Part &part = exchange->parts[attempt.part];
@@ -289,6 +291,7 @@
             : isSlow                       ? TargetOutcome::Slow
                                            : TargetOutcome::Neutral;
     const GatewayAttempt attempt = this->removeAttempt(id, outcome, context);
+    this->observeEnd(AttemptEndKind::Closed, attempt.targetId, context.now);
     context.emit(CloseAttempt {id});
     this->sendWaitingParts(*attempt.group, context);
 }
@@ -299,10 +302,16 @@
         const Timer timer = this->timers.top();
         this->timers.pop();
         this->timerDelay.add(context.now - timer.at, context.now);
-        if (timer.kind == TimerKind::Exchange) {
+        switch (timer.kind) {
+        case TimerKind::Exchange:
             this->advance(ExchangeId(timer.id), context);
-        } else {
+            break;
+        case TimerKind::Attempt:
             this->closeOverdueAttempt(AttemptId(timer.id), context);
+            break;
+        case TimerKind::Silence:
+            this->observeSilence(context);
+            break;
         }
     }
 }
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -5,6 +5,7 @@
 #include "logic/gateway/delay_estimate.h"
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/gateway_effects.h"
+#include "logic/gateway/path_evidence.h"
 #include "logic/gateway/route_table.h"
 #include "logic/gateway/split_choice.h"
 #include "logic/gateway/target_registry.h"
@@ -32,6 +33,18 @@
     std::uint64_t retries = 0;
     /// Attempts that were not sent at once because the retry budget was spent.
     std::uint64_t withoutBudget = 0;
+
+    // How attempts ended.
+
+    std::uint64_t replied = 0;
+    /// No connection could be made.
+    std::uint64_t unreachable = 0;
+    /// The connection broke.
+    std::uint64_t lost = 0;
+    /// The received bytes were not a reply.
+    std::uint64_t malformed = 0;
+    /// Closed by this instance before a reply arrived.
+    std::uint64_t closed = 0;
 };
 
 /// Forwards callers' requests to targets: chooses targets, queues requests, sends retries and
@@ -78,14 +91,20 @@
     CrashTracker &crashTracker() { return this->trackedCrashes; }
     /// The loan requests of this instance.
     BudgetLoans &loans() { return this->budgetLoans; }
+    /// What the attempts tell about the network path to the targets.
+    const PathEvidence &evidence() const { return this->pathEvidence; }
+    /// Called after this process was paused: replies may have waited unread.
+    void onPaused(Instant now) { this->silentSince = now; }
+    /// Logs that the path to the targets seems to be broken, or no longer does.
+    void logPathChange(GatewayContext &context);
 
 private:
-    enum class TimerKind { Exchange, Attempt };
+    enum class TimerKind { Exchange, Attempt, Silence };
     struct Timer
     {
         Instant at {};
         TimerKind kind = TimerKind::Exchange;
-        /// The number of the exchange or attempt.
+        /// The number of the exchange or attempt; 0 for the others.
         std::uint64_t id = 0;
 
         bool operator>(const Timer &other) const { return this->at > other.at; }
@@ -170,6 +189,16 @@
     /// Closes the attempt's connection if its closing time has passed without a reply.
     void closeOverdueAttempt(AttemptId id, GatewayContext &context);
 
+    // Observing the network path to the targets (forwarder_path.cpp).
+
+    /// Records how an attempt ended.
+    void observeEnd(AttemptEndKind kind, const TargetId &target, Instant now);
+    void observeReply(const AttemptReplied &event, Instant now);
+    /// Sets the timer for observeSilence() unless it is set.
+    void scheduleSilenceCheck(Instant at);
+    /// Records the targets whose replies are overdue if no target has replied for a while.
+    void observeSilence(GatewayContext &context);
+
     TargetRegistry &targets;
     RetryAllowance allowance;
     std::uint64_t sampleOneIn;
@@ -191,6 +220,11 @@
     CrashTracker trackedCrashes;
     std::vector<CrashObservation> newCrashes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
+    PathEvidence pathEvidence;
+    bool pathSuspected = false;
+    bool silenceCheckScheduled = false;
+    /// Attempts that were sent earlier count as sent at this time when a silence is measured.
+    Instant silentSince = Instant::min();
     /// How late timers fire.
     DelayEstimate timerDelay;
     /// How long it takes to merge and write a gathered answer.
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -190,6 +190,7 @@
                                            exchange.latency, part.group, context.now,
                                            exchange.deadlineAt + closeAfterDeadline});
     this->timers.push({exchange.deadlineAt + closeAfterDeadline, TimerKind::Attempt, id.value});
+    this->scheduleSilenceCheck(context.now + forwarding::minSilence);
     this->targets.onSent(target, kind, context.now);
     part.runningAttempts.push_back(id);
     part.triedTargets.push_back(target.record.id);
--- a/logic/gateway/forwarding_constants.h
+++ b/logic/gateway/forwarding_constants.h
@@ -17,6 +17,9 @@
 /// chance.
 inline constexpr int slowMedianFactor = 3;
 
+/// A shorter time without any reply is usual even if many attempts are running.
+inline constexpr Duration minSilence = std::chrono::milliseconds(60);
+
 // A member that delegated a request waits for so long until it serves the request in another way.
 
 /// How long after the objective the answer or a receipt of a live coordinator can arrive.
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -37,6 +37,7 @@
     this->requestBudget(context);
     this->targets.limits().loans().sendRequests(context);
     this->reportCrashes(context);
+    this->forwarder.logPathChange(context);
     return effects;
 }
 
@@ -317,6 +318,7 @@
 {
     context.log(LogEvent::PauseNoticed, {{"ms", std::to_string(toMilliseconds(event.length))}});
     context.emit(DropIdleConnections {});
+    this->forwarder.onPaused(context.now);
     this->storeSync.refresh(context);
 }
 
@@ -358,6 +360,10 @@
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
+    if (const Instant repliedAt = this->forwarder.evidence().lastReplyAt();
+        repliedAt != Instant::min()) {
+        status.targetReplyAge = now - repliedAt;
+    }
     status.storeDataAge = now - this->storeSync.lastConfirmedAt();
     status.storeHistory = this->storeSync.history();
     return status;
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -35,6 +35,8 @@
     /// How long ago the known state was last confirmed by the store or by a member that had read
     /// the store.
     Duration storeDataAge {};
+    /// How long ago the last target replied; empty if none has.
+    std::optional<Duration> targetReplyAge;
     /// The store's history; it increases each time that the store is restored from a copy.
     std::uint64_t storeHistory = 0;
     ForwarderCounts counts;
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -56,6 +56,8 @@
 {
     AttemptId attempt;
     std::shared_ptr<const ForwardedReply> reply;
+    /// Whether the attempt was the first one on its connection.
+    bool onNewConnection = false;
 };
 
 /// How an attempt ended without a reply.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -170,6 +170,16 @@
     this->targets.erase(found);
 }
 
+std::size_t TargetRegistry::countUsable(std::size_t limit) const
+{
+    std::size_t count = 0;
+    for (auto target = this->targets.begin(); target != this->targets.end() && count < limit;
+         ++target) {
+        count += target->second->usable ? 1 : 0;
+    }
+    return count;
+}
+
 void TargetRegistry::removeIdleRetired()
 {
     std::erase_if(this->retired, [](const auto &node) { return node->inFlight == 0; });
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -128,6 +128,8 @@
     /// Increases whenever a target becomes usable or unusable.
     std::uint64_t revision() const { return this->changes; }
     std::size_t size() const { return this->targets.size(); }
+    /// Returns how many targets are in use, but no more than the given number.
+    std::size_t countUsable(std::size_t limit) const;
     const std::unordered_map<TargetId, std::unique_ptr<TargetNode>> &all() const
     {
         return this->targets;
