--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -109,6 +109,7 @@
     GatewaySettings settings = this->settingsFor(instance);
     settings.firstStart = false;
     ++this->nodes[instance].run;
+    this->nodes[instance].running.clear();
     settings.seed += 1'000'000 * this->nodes[instance].run;
     this->nodes[instance].gateway = std::make_unique<Gateway>(settings);
     for (auto &[id, target] : this->targets) {
@@ -156,6 +157,7 @@
     request.requestId = "r" + std::to_string(number);
     this->sentAt[number] = this->now;
     this->prefixes[number] = prefix;
+    this->receivers[number] = instance;
     this->apply(instance,
                 RequestArrived {ExchangeId(number),
                                 std::make_shared<const ForwardedRequest>(std::move(request)),
@@ -257,10 +259,53 @@
     });
 }
 
+void GatewayFleet::cut(std::size_t instance, PathCut how)
+{
+    Node &node = this->nodes[instance];
+    node.pathCut = how;
+    if (how == PathCut::Silent || how == PathCut::Reset) {
+        ++node.pathBreaks;
+    }
+    if (how == PathCut::Reset) {
+        std::erase_if(this->connections,
+                      [&](const auto &entry) { return entry.first.first == instance; });
+        for (const AttemptId attempt : node.running) {
+            this->endAttempt(instance, attempt, AttemptEndKind::Lost, {});
+        }
+    }
+}
+
+void GatewayFleet::endAttempt(std::size_t instance, AttemptId attempt, AttemptEndKind kind,
+                              Duration after)
+{
+    this->schedule(this->now + after,
+                   [this, instance, attempt, kind, run = this->nodes[instance].run] {
+                       Node &node = this->nodes[instance];
+                       if (node.run == run && node.running.erase(attempt) > 0) {
+                           this->apply(instance, AttemptEnded {attempt, kind});
+                       }
+                   });
+}
+
 void GatewayFleet::startAttempt(std::size_t instance, const StartAttempt &effect)
 {
-    const Node &node = this->nodes[instance];
+    Node &node = this->nodes[instance];
     const Target &target = this->targets.at(effect.target);
+    node.running.insert(effect.attempt);
+    Connection &connection = this->connections[{instance, effect.target}];
+    const bool isConnected = this->now - connection.usedAt <= this->plan.idleTime
+            && this->now - connection.openedAt <= this->plan.connectionAge;
+    if (!isConnected && node.pathCut != PathCut::None) {
+        this->endAttempt(
+                instance, effect.attempt, AttemptEndKind::Unreachable,
+                node.pathCut == PathCut::Silent
+                        ? this->plan.connectTimeout
+                        : 2 * this->delayBetween(node.domain, target.record.failureDomain));
+        return;
+    }
+    if (node.pathCut == PathCut::Silent) {
+        return;
+    }
     ++this->attempts;
     this->remoteAttempts += target.record.failureDomain == node.domain ? 0 : 1;
     ++this->runs[{effect.request->requestId, target.record.group.value}];
@@ -271,12 +316,12 @@
     const double factor = spread(this->random) * target.slowness
             * (inTail(this->random) ? this->plan.tailFactor : 1.0);
     Instant startAt = node.busyUntil + delay;
-    Instant &usedAt = this->connectionUsedAt[{instance, target.record.id}];
-    if (startAt - usedAt > this->plan.idleTime) {
+    if (!isConnected) {
         startAt += this->plan.connectTime + 2 * delay;
+        connection.openedAt = startAt;
     }
     Instant endAt = startAt + std::chrono::duration_cast<Duration>(this->plan.workTime * factor);
-    usedAt = endAt;
+    connection.usedAt = endAt;
     this->schedule(startAt,
                    [this, instance, id = effect.target] { this->recordArrival(instance, id); });
     if (this->plan.pauseLength > Duration(0)) {
@@ -288,22 +333,26 @@
     }
     const AttemptId attempt = effect.attempt;
     const std::uint32_t run = node.run;
-    this->schedule(endAt + delay, [this, instance, run, attempt, id = effect.target] {
-        if (this->nodes[instance].run != run
-            || this->closedAttempts.erase({instance, attempt.value}) > 0) {
-            return;
-        }
-        Target &replying = this->targets.at(id);
-        auto reply = std::make_shared<ForwardedReply>();
-        reply->kind = ReplyClass::Success;
-        reply->status = 200;
-        reply->signature = "s";
-        reply->requestLimit = replying.limit;
-        if (replying.limit) {
-            replying.toldAt.try_emplace(instance, this->now);
-        }
-        this->apply(instance, AttemptReplied {attempt, std::move(reply)});
-    });
+    const std::uint32_t breaks = node.pathBreaks;
+    this->schedule(
+            endAt + delay,
+            [this, instance, run, breaks, attempt, isNew = !isConnected, id = effect.target] {
+                Node &receiver = this->nodes[instance];
+                if (receiver.run != run || receiver.pathBreaks != breaks
+                    || receiver.running.erase(attempt) == 0) {
+                    return;
+                }
+                Target &replying = this->targets.at(id);
+                auto reply = std::make_shared<ForwardedReply>();
+                reply->kind = ReplyClass::Success;
+                reply->status = 200;
+                reply->signature = "s";
+                reply->requestLimit = replying.limit;
+                if (replying.limit) {
+                    replying.toldAt.try_emplace(instance, this->now);
+                }
+                this->apply(instance, AttemptReplied {attempt, std::move(reply), isNew});
+            });
 }
 
 void GatewayFleet::answerStore(std::size_t instance, const CallStore &effect)
@@ -328,11 +377,12 @@
     if (const auto *start = std::get_if<StartAttempt>(&effect)) {
         this->startAttempt(instance, *start);
     } else if (const auto *close = std::get_if<CloseAttempt>(&effect)) {
-        this->closedAttempts.insert({instance, close->attempt.value});
+        this->nodes[instance].running.erase(close->attempt);
     } else if (const auto *answer = std::get_if<AnswerExchange>(&effect)) {
         const std::uint64_t number = answer->exchange.value;
         this->answers[number] = {answer->reply.status, answer->reply.partsMissing,
-                                 this->nodes[instance].busyUntil - this->sentAt.at(number)};
+                                 this->nodes[instance].busyUntil - this->sentAt.at(number),
+                                 answer->reply.retryAfter};
     } else if (const auto *call = std::get_if<CallStore>(&effect)) {
         this->answerStore(instance, *call);
     } else if (const auto *update = std::get_if<SendStoreUpdate>(&effect)) {
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -40,6 +40,10 @@
     /// A connection that was idle for longer is closed, and a new one takes this long.
     Duration idleTime = std::chrono::seconds(2);
     Duration connectTime = milliseconds(6);
+    /// Targets close a connection after this time.
+    Duration connectionAge = std::chrono::hours(1);
+    /// An attempt to connect that hangs is given up after this time.
+    Duration connectTimeout = milliseconds(200);
     /// One in a hundred requests takes this many times as long.
     double tailFactor = 5.0;
     /// This fraction of the targets is slow all the time, by this factor.
@@ -62,12 +66,21 @@
     bool wasTold = false;
 };
 
+/// How an instance is cut off from all targets.
+enum class PathCut {
+    None,
+    Silent,  ///< Nothing arrives, and new connections hang.
+    Reset,   ///< Open connections are reset, and new ones are refused.
+    Refused, ///< Open connections work, and new ones are refused.
+};
+
 /// What the caller of one query saw.
 struct FleetAnswer
 {
     int status = 0;
     std::size_t missing = 0;
     Duration elapsed {};
+    Duration retryAfter {};
 };
 
 /// Runs the gateways of a whole fleet with their targets on a simulated clock, without a network.
@@ -100,12 +113,18 @@
     void restart(std::size_t instance);
     /// From now on the instance neither receives nor sends anything.
     void kill(std::size_t instance) { this->dead.insert(instance); }
+    /// Cuts an instance off from all targets, or ends the cut. Callers, the store and the other
+    /// members reach it all the time.
+    void cut(std::size_t instance, PathCut how);
     /// From now on no message of the instance reaches another member.
     void silence(std::size_t instance) { this->silenced.insert(instance); }
     /// The instance handles nothing for a while; what arrives is handled afterwards.
     void pause(std::size_t instance, Duration duration);
     std::size_t indexOf(const std::string &id) const { return this->indexById.at(id); }
     const Gateway &gateway(std::size_t instance) const { return *this->nodes[instance].gateway; }
+    /// Returns the instance to which the query was sent, and when.
+    std::size_t receiverOf(std::uint64_t query) const { return this->receivers.at(query); }
+    Instant sentTimeOf(std::uint64_t query) const { return this->sentAt.at(query); }
     /// Returns true if the query was sent to the urgent route.
     bool isUrgent(std::uint64_t query) const { return this->prefixes.at(query) == urgent; }
     /// Returns the instances that have coordinated queries.
@@ -137,6 +156,11 @@
         Instant timerAt = Instant::max();
         /// Increases with each restart.
         std::uint32_t run = 0;
+        PathCut pathCut = PathCut::None;
+        /// Increases each time that what is under way to or from targets is lost.
+        std::uint32_t pathBreaks = 0;
+        /// The attempts that are running.
+        std::set<AttemptId> running;
     };
     struct Target
     {
@@ -168,6 +192,8 @@
     void applyAt(Instant at, std::size_t instance, const GatewayEvent &event);
     void execute(std::size_t instance, const GatewayEffect &effect);
     void startAttempt(std::size_t instance, const StartAttempt &effect);
+    /// Lets an attempt end without a reply.
+    void endAttempt(std::size_t instance, AttemptId attempt, AttemptEndKind kind, Duration after);
     void recordArrival(std::size_t instance, const TargetId &target);
     GatewaySettings settingsFor(std::size_t instance) const;
     void answerStore(std::size_t instance, const CallStore &effect);
@@ -187,9 +213,14 @@
     std::set<std::size_t> silenced;
     std::map<std::uint64_t, Instant> sentAt;
     std::map<std::uint64_t, std::string> prefixes;
-    std::set<std::pair<std::size_t, std::uint64_t>> closedAttempts;
-    /// When an instance's connection to a target was used last.
-    std::map<std::pair<std::size_t, TargetId>, Instant> connectionUsedAt;
+    std::map<std::uint64_t, std::size_t> receivers;
+    struct Connection
+    {
+        Instant openedAt {};
+        Instant usedAt {};
+    };
+    /// The connections of the instances to the targets.
+    std::map<std::pair<std::size_t, TargetId>, Connection> connections;
     std::priority_queue<Step, std::vector<Step>, std::greater<>> steps;
     std::uint64_t lastOrder = 0;
     std::uint64_t lastQuery = 0;
