Name what members delegate a request rather than a query

Single requests are about to be delegated too. Renames only: RequestDelegator, DelegatedRequest, DelegateRequest, RequestDelegated.

--- a/drivers/edge/delegation_messages.cpp
+++ b/drivers/edge/delegation_messages.cpp
@@ -39,7 +39,7 @@
     return std::clamp<Duration>(Duration(microseconds), Duration(0), maxTimeLeft);
 }
 
-DelegatedQuery decodeQuery(const proto::DelegatedQuery &encoded)
+DelegatedRequest decodeRequest(const proto::DelegatedRequest &encoded)
 {
     ForwardedRequest request;
     request.requestId = encoded.request_id();
@@ -50,7 +50,7 @@
     for (const proto::HeaderField &field : encoded.fields()) {
         request.fields.emplace_back(field.name(), field.value());
     }
-    DelegatedQuery query;
+    DelegatedRequest query;
     query.number = encoded.number();
     query.request = std::make_shared<const ForwardedRequest>(std::move(request));
     query.sentAt = decodeInstant(encoded.sent_at_us());
@@ -142,12 +142,12 @@
     return message;
 }
 
-std::shared_ptr<const proto::PeerMessage> writeDelegatedQuery(const DelegatedQuery &query,
-                                                              const std::string &sender,
-                                                              const std::string &senderAddress)
+std::shared_ptr<const proto::PeerMessage> writeDelegatedRequest(const DelegatedRequest &query,
+                                                                const std::string &sender,
+                                                                const std::string &senderAddress)
 {
     auto message = createMessage(sender, senderAddress);
-    proto::DelegatedQuery &encoded = *message->mutable_delegated_query();
+    proto::DelegatedRequest &encoded = *message->mutable_delegated_request();
     encoded.set_number(query.number);
     encoded.set_request_id(query.request->requestId);
     encoded.set_method(query.request->method);
@@ -220,9 +220,9 @@
                 member,
                 {offer.number(), decodeState(offer.state()), decodeInstant(offer.sent_at_us())}};
     }
-    if (message.has_delegated_query()) {
-        return QueryDelegated {member, message.sender_address(),
-                               decodeQuery(message.delegated_query())};
+    if (message.has_delegated_request()) {
+        return RequestDelegated {member, message.sender_address(),
+                                 decodeRequest(message.delegated_request())};
     }
     if (message.has_delegation_receipt()) {
         return ReceiptReceived {member, decodeReceipt(message.delegation_receipt())};
--- a/drivers/edge/delegation_messages.h
+++ b/drivers/edge/delegation_messages.h
@@ -21,9 +21,9 @@
 std::shared_ptr<const proto::PeerMessage> writeOffer(const CoordinatorOffer &offer,
                                                      const std::string &sender,
                                                      const std::string &senderAddress);
-std::shared_ptr<const proto::PeerMessage> writeDelegatedQuery(const DelegatedQuery &query,
-                                                              const std::string &sender,
-                                                              const std::string &senderAddress);
+std::shared_ptr<const proto::PeerMessage> writeDelegatedRequest(const DelegatedRequest &query,
+                                                                const std::string &sender,
+                                                                const std::string &senderAddress);
 std::shared_ptr<const proto::PeerMessage> writeCancellation(const CancelDelegation &cancellation,
                                                             const std::string &sender,
                                                             const std::string &senderAddress);
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -455,11 +455,11 @@
                      writeOffer(effect.offer, this->settings.id.value, this->settings.peerAddress));
 }
 
-void GatewayNode::execute(DelegateQuery &effect)
+void GatewayNode::execute(DelegateRequest &effect)
 {
-    this->peers.send(
-            effect.receiver,
-            writeDelegatedQuery(effect.query, this->settings.id.value, this->settings.peerAddress));
+    this->peers.send(effect.receiver,
+                     writeDelegatedRequest(effect.query, this->settings.id.value,
+                                           this->settings.peerAddress));
 }
 
 void GatewayNode::execute(CancelDelegation &effect)
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -82,7 +82,7 @@
     void execute(LendLimit &effect);
     void execute(SendInquiry &effect);
     void execute(SendOffer &effect);
-    void execute(DelegateQuery &effect);
+    void execute(DelegateRequest &effect);
     void execute(CancelDelegation &effect);
     void execute(SendReceipt &effect);
     void execute(SendDelegatedAnswer &effect);
--- a/logic/gateway/delegation.h
+++ b/logic/gateway/delegation.h
@@ -44,7 +44,7 @@
 
 /// A gathered request that a member asks another one to coordinate: to send it to the targets and
 /// to merge their replies.
-struct DelegatedQuery
+struct DelegatedRequest
 {
     /// The number of the inquiry.
     std::uint64_t number = 0;
--- a/logic/gateway/delegation_intake.cpp
+++ b/logic/gateway/delegation_intake.cpp
@@ -52,11 +52,11 @@
     context.emit(SendOffer {event.sender, {event.inquiry.number, state, context.now}});
 }
 
-std::optional<AdmittedRequest> DelegationIntake::take(const QueryDelegated &event,
+std::optional<AdmittedRequest> DelegationIntake::take(const RequestDelegated &event,
                                                       const RouteTable *routes, bool stopping,
                                                       GatewayContext &context)
 {
-    const DelegatedQuery &query = event.query;
+    const DelegatedRequest &query = event.query;
     DelegationState state = this->stateFor(query.minConfigVersion, routes, stopping, context.now);
     const Route *route = nullptr;
     if (state == DelegationState::Accepted) {
--- a/logic/gateway/delegation_intake.h
+++ b/logic/gateway/delegation_intake.h
@@ -20,7 +20,7 @@
     void reply(const InquiryReceived &event, const RouteTable *routes, bool stopping,
                GatewayContext &context);
     /// Returns a member's query for being served, or declines it.
-    std::optional<AdmittedRequest> take(const QueryDelegated &event, const RouteTable *routes,
+    std::optional<AdmittedRequest> take(const RequestDelegated &event, const RouteTable *routes,
                                         bool stopping, GatewayContext &context);
     std::uint64_t takenCount() const { return this->taken; }
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -132,7 +132,7 @@
     this->delegator.onOffer(event, context);
 }
 
-void Gateway::on(const QueryDelegated &event, GatewayContext &context)
+void Gateway::on(const RequestDelegated &event, GatewayContext &context)
 {
     if (auto request = this->intake.take(event, this->readyRoutes(), this->stopping, context)) {
         // Keeps the share of the connections up to date on an instance without own callers.
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -6,10 +6,10 @@
 #include "logic/gateway/forwarder.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
-#include "logic/gateway/query_delegator.h"
 #include "logic/gateway/query_rate.h"
 #include "logic/gateway/recent_members.h"
 #include "logic/gateway/registration.h"
+#include "logic/gateway/request_delegator.h"
 #include "logic/gateway/seen_numbers.h"
 #include "logic/gateway/store_sync.h"
 #include "logic/gateway/target_registry.h"
@@ -89,7 +89,7 @@
     void on(const LimitLent &event, GatewayContext &context);
     void on(const InquiryReceived &event, GatewayContext &context);
     void on(const OfferReceived &event, GatewayContext &context);
-    void on(const QueryDelegated &event, GatewayContext &context);
+    void on(const RequestDelegated &event, GatewayContext &context);
     void on(const ReceiptReceived &event, GatewayContext &context);
     void on(const DelegatedAnswerReceived &event, GatewayContext &context);
     void on(const DelegationCancelled &event, GatewayContext &context);
@@ -125,7 +125,7 @@
     StoreSync storeSync;
     Registration registration;
     Forwarder forwarder;
-    QueryDelegator delegator;
+    RequestDelegator delegator;
     DelegationIntake intake;
     QueryRate gatheredRate;
     CoordinatorRanking coordinatorRanking;
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -135,11 +135,11 @@
 };
 
 /// Asks a member to coordinate a query. The message may be lost.
-struct DelegateQuery
+struct DelegateRequest
 {
     /// Peer address.
     std::string receiver;
-    DelegatedQuery query;
+    DelegatedRequest query;
 };
 
 /// Tells a coordinator that the query is not needed any more.
@@ -169,7 +169,7 @@
 using GatewayEffect =
         std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore, DropIdleConnections,
                      SendStoreUpdate, RequestBudget, LendBudget, ReportCrash, ReportLimits,
-                     RequestLimit, LendLimit, SendInquiry, SendOffer, DelegateQuery,
+                     RequestLimit, LendLimit, SendInquiry, SendOffer, DelegateRequest,
                      CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -232,12 +232,12 @@
 };
 
 /// A member asks this instance to coordinate a query.
-struct QueryDelegated
+struct RequestDelegated
 {
     InstanceId member;
     /// The member's peer address.
     std::string sender;
-    DelegatedQuery query;
+    DelegatedRequest query;
 };
 
 /// A member tells what became of a query that this instance delegated to it.
@@ -286,7 +286,7 @@
         std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
                      AttemptEnded, StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent,
                      CrashReported, LimitsReported, LimitRequested, LimitLent, InquiryReceived,
-                     OfferReceived, QueryDelegated, ReceiptReceived, DelegatedAnswerReceived,
+                     OfferReceived, RequestDelegated, ReceiptReceived, DelegatedAnswerReceived,
                      DelegationCancelled, TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/query_delegator.cpp
+++ b/logic/gateway/request_delegator.cpp
@@ -1,4 +1,4 @@
-#include "logic/gateway/query_delegator.h"
+#include "logic/gateway/request_delegator.h"
 
 #include "logic/gateway/exchange_log.h"
 #include "logic/gateway/forwarding_constants.h"
@@ -57,13 +57,13 @@
 
 } // namespace
 
-QueryDelegator::QueryDelegator(FailureDomain domain, std::uint64_t sampleOneIn,
-                               std::uint64_t firstNumber)
+RequestDelegator::RequestDelegator(FailureDomain domain, std::uint64_t sampleOneIn,
+                                   std::uint64_t firstNumber)
     : domain(std::move(domain)), sampleOneIn(sampleOneIn), lastNumber(firstNumber)
 { }
 
-std::vector<MemberRecord> QueryDelegator::choose(const CoordinatorRanking &ranking,
-                                                 GatewayContext &context)
+std::vector<MemberRecord> RequestDelegator::choose(const CoordinatorRanking &ranking,
+                                                   GatewayContext &context)
 {
     // A coordinator in the own domain is the nearest one. An instance in a domain without replicas
     // spreads its queries over the domains that have some.
@@ -87,9 +87,9 @@
     return chosen;
 }
 
-std::optional<AdmittedRequest> QueryDelegator::delegate(AdmittedRequest request,
-                                                        const CoordinatorRanking &ranking,
-                                                        GatewayContext &context)
+std::optional<AdmittedRequest> RequestDelegator::delegate(AdmittedRequest request,
+                                                          const CoordinatorRanking &ranking,
+                                                          GatewayContext &context)
 {
     if (request.request->body.size() > maxDelegatedBody) {
         return request;
@@ -110,8 +110,8 @@
     return std::nullopt;
 }
 
-QueryDelegator::Queries::iterator QueryDelegator::find(std::uint64_t number,
-                                                       const InstanceId &member)
+RequestDelegator::Queries::iterator RequestDelegator::find(std::uint64_t number,
+                                                           const InstanceId &member)
 {
     const auto found = this->queries.find(number);
     const bool isAsked = found != this->queries.end()
@@ -120,14 +120,14 @@
     return isAsked ? found : this->queries.end();
 }
 
-void QueryDelegator::giveBack(Queries::iterator query)
+void RequestDelegator::giveBack(Queries::iterator query)
 {
     ++this->delegatorCounts.returned;
     this->returned.push_back(std::move(query->second.request));
     this->queries.erase(query);
 }
 
-void QueryDelegator::onOffer(const OfferReceived &event, GatewayContext &context)
+void RequestDelegator::onOffer(const OfferReceived &event, GatewayContext &context)
 {
     this->health.onReacted(event.member);
     const CoordinatorOffer &offer = event.offer;
@@ -151,17 +151,17 @@
     query.sent = true;
     query.silentAt = query.request.objectiveAt + forwarding::objectiveTolerance;
     ++this->delegatorCounts.delegated;
-    DelegatedQuery message;
+    DelegatedRequest message;
     message.number = offer.number;
     message.request = query.request.request;
     message.sentAt = offer.sentAt;
     message.objectiveLeft = query.request.objectiveAt - context.now - returnTime;
     message.timeLeft = query.request.deadlineAt - context.now - returnTime;
     message.minConfigVersion = query.minConfigVersion;
-    context.emit(DelegateQuery {query.coordinators.front().peerAddress, std::move(message)});
+    context.emit(DelegateRequest {query.coordinators.front().peerAddress, std::move(message)});
 }
 
-void QueryDelegator::onReceipt(const ReceiptReceived &event, GatewayContext &context)
+void RequestDelegator::onReceipt(const ReceiptReceived &event, GatewayContext &context)
 {
     const DelegationReceipt &receipt = event.receipt;
     const auto found = this->find(receipt.number, event.member);
@@ -179,7 +179,7 @@
                                       context.now + forwarding::receiptTimeout);
 }
 
-void QueryDelegator::onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context)
+void RequestDelegator::onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context)
 {
     const DelegatedAnswer &answer = event.answer;
     const auto found = this->find(answer.number, event.member);
@@ -195,7 +195,7 @@
     this->queries.erase(found);
 }
 
-bool QueryDelegator::onCallerLeft(ExchangeId id, GatewayContext &context)
+bool RequestDelegator::onCallerLeft(ExchangeId id, GatewayContext &context)
 {
     const auto found = std::ranges::find_if(
             this->queries, [id](const auto &entry) { return entry.second.request.id == id; });
@@ -214,7 +214,7 @@
     return true;
 }
 
-void QueryDelegator::onTimer(GatewayContext &context)
+void RequestDelegator::onTimer(GatewayContext &context)
 {
     for (auto next = this->queries.begin(); next != this->queries.end();) {
         const auto current = next++;
@@ -234,7 +234,7 @@
     }
 }
 
-void QueryDelegator::endSilent(Queries::iterator query, GatewayContext &context)
+void RequestDelegator::endSilent(Queries::iterator query, GatewayContext &context)
 {
     // The coordinator may have used all attempts that the route allows, so none are left. A caller
     // that asks again has attempts of its own.
@@ -251,7 +251,7 @@
     this->queries.erase(query);
 }
 
-Instant QueryDelegator::nextTimer() const
+Instant RequestDelegator::nextTimer() const
 {
     Instant next = Instant::max();
     for (const auto &[number, query] : this->queries) {
--- a/logic/gateway/query_delegator.h
+++ b/logic/gateway/request_delegator.h
@@ -38,13 +38,13 @@
 /// coordinator that is gone, cut off or slow costs a few milliseconds and no attempts. This
 /// instance stays responsible for the answer: it serves the query itself if no coordinator reacts,
 /// or if the chosen one falls silent later.
-class QueryDelegator
+class RequestDelegator
 {
 public:
     /// Of the requests that end as Served, one in `sampleOneIn` is logged; 0 logs none.
     /// `firstNumber` should be random, so that the coordinators' late answers to an earlier run of
     /// this process are not mistaken for answers to this one.
-    QueryDelegator(FailureDomain domain, std::uint64_t sampleOneIn, std::uint64_t firstNumber);
+    RequestDelegator(FailureDomain domain, std::uint64_t sampleOneIn, std::uint64_t firstNumber);
 
     /// Asks coordinators to serve a gathered request. Returns the request if this instance must
     /// serve it itself.
--- a/tests/drivers_edge/test_delegation_messages.cpp
+++ b/tests/drivers_edge/test_delegation_messages.cpp
@@ -51,14 +51,14 @@
     request.requestId = "r1";
     request.fields = {{"Request-Id", "r1"}, {"X", std::string("\x01\xfe", 2)}};
     request.body = std::string("\0b", 2);
-    DelegatedQuery query;
+    DelegatedRequest query;
     query.number = 3;
     query.request = std::make_shared<const ForwardedRequest>(request);
     query.sentAt = Instant(5s);
     query.objectiveLeft = 100ms;
     query.timeLeft = 900ms;
     query.minConfigVersion = 4;
-    const auto read = decode<QueryDelegated>(writeDelegatedQuery(query, sender, address));
+    const auto read = decode<RequestDelegated>(writeDelegatedRequest(query, sender, address));
     CHECK(read.query.number == 3);
     CHECK(read.query.request->method == "GET");
     CHECK(read.query.request->host == "h");
@@ -110,12 +110,12 @@
 {
     rc::check([](std::int64_t sentAt, std::int64_t left) {
         proto::PeerMessage message;
-        message.mutable_delegated_query()->set_sent_at_us(sentAt);
-        message.mutable_delegated_query()->set_objective_left_us(left);
-        message.mutable_delegated_query()->set_time_left_us(left);
+        message.mutable_delegated_request()->set_sent_at_us(sentAt);
+        message.mutable_delegated_request()->set_objective_left_us(left);
+        message.mutable_delegated_request()->set_time_left_us(left);
         const auto event = readDelegationMessage(message);
         RC_ASSERT(event.has_value());
-        const DelegatedQuery &query = std::get<QueryDelegated>(*event).query;
+        const DelegatedRequest &query = std::get<RequestDelegated>(*event).query;
         RC_ASSERT(query.sentAt >= Instant());
         RC_ASSERT(query.objectiveLeft >= Duration(0));
         RC_ASSERT(query.sentAt + query.timeLeft >= query.sentAt);
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -416,9 +416,9 @@
         this->deliver(instance, offer->receiver, [&](const std::string &) {
             return OfferReceived {self, offer->offer};
         });
-    } else if (const auto *query = std::get_if<DelegateQuery>(&effect)) {
+    } else if (const auto *query = std::get_if<DelegateRequest>(&effect)) {
         this->deliver(instance, query->receiver, [&](const std::string &sender) {
-            return QueryDelegated {self, sender, query->query};
+            return RequestDelegated {self, sender, query->query};
         });
     } else if (const auto *cancel = std::get_if<CancelDelegation>(&effect)) {
         this->deliver(instance, cancel->receiver, [&](const std::string &) {
--- a/tests/logic/gateway/test_delegation.cpp
+++ b/tests/logic/gateway/test_delegation.cpp
@@ -19,13 +19,13 @@
 class IntakeFixture
 {
 public:
-    DelegatedQuery query(Duration age = {})
+    DelegatedRequest query(Duration age = {})
     {
         ForwardedRequest request;
         request.host = "h";
         request.path = "/g/x";
         request.requestId = "r";
-        DelegatedQuery query;
+        DelegatedRequest query;
         query.number = ++this->lastNumber;
         query.request = std::make_shared<const ForwardedRequest>(request);
         query.sentAt = this->now - age;
@@ -35,7 +35,7 @@
         return query;
     }
 
-    std::optional<AdmittedRequest> take(const DelegatedQuery &query, bool stopping = false)
+    std::optional<AdmittedRequest> take(const DelegatedRequest &query, bool stopping = false)
     {
         GatewayContext context {this->now, this->effects, this->random, this->ids};
         return this->intake.take({InstanceId("b"), "10.0.0.2:1", query}, &this->routes, stopping,
@@ -94,7 +94,7 @@
     IntakeFixture fixture;
     CHECK_FALSE(fixture.take(fixture.query(), true));
     CHECK(fixture.declinedState() == DelegationState::Leaving);
-    DelegatedQuery newer = fixture.query();
+    DelegatedRequest newer = fixture.query();
     newer.minConfigVersion = configVersion + 1;
     CHECK_FALSE(fixture.take(newer));
     CHECK(fixture.declinedState() == DelegationState::Outdated);
@@ -109,7 +109,7 @@
     ForwardedRequest request;
     request.host = "h";
     request.path = GENERATE("/p/x", "/none/x");
-    DelegatedQuery query = fixture.query();
+    DelegatedRequest query = fixture.query();
     query.request = std::make_shared<const ForwardedRequest>(request);
     CHECK_FALSE(fixture.take(query));
     CHECK(fixture.declinedState() == DelegationState::Outdated);
