--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -71,8 +71,12 @@
         {LogEvent::TargetPathSuspected, "TargetPathSuspected", LogSeverity::Warning,
          "Several targets fail and no other one answers; this instance's path to them may be "
          "broken."},
+        {LogEvent::TargetPathDown, "TargetPathDown", LogSeverity::Warning,
+         "This instance reaches no target; other members are asked to serve its requests."},
         {LogEvent::TargetPathUp, "TargetPathUp", LogSeverity::Info,
          "This instance reaches the targets again."},
+        {LogEvent::TargetPathRecovering, "TargetPathRecovering", LogSeverity::Info,
+         "This instance reaches targets again; it serves a growing share of its requests itself."},
         {LogEvent::MemberJoined, "MemberJoined", LogSeverity::Info,
          "An entry instance joined the membership."},
         {LogEvent::MemberSuspected, "MemberSuspected", LogSeverity::Warning,
--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -52,6 +52,7 @@
 
 void ClientLink::onReady(int mode)
 {
+    const bool wasConnected = this->stream.isConnected();
     if (!this->stream.advance(mode)) {
         this->close(this->stream.hasWritten() || this->stream.isConnected()
                             ? LinkEndKind::Lost
@@ -61,6 +62,9 @@
     if (!this->stream.isConnected()) {
         return;
     }
+    if (!wasConnected && this->hooks.onConnected) {
+        this->hooks.onConnected(*this);
+    }
     if (this->pendingRequest) {
         this->writeRequest();
         if (this->closed) {
--- a/drivers/edge/client_link.h
+++ b/drivers/edge/client_link.h
@@ -33,6 +33,8 @@
         /// Called when the link has ended. The callee must destroy the link later, with
         /// EdgeLoop::deleteLater().
         std::function<void(ClientLink &, LinkEndKind)> onEnd;
+        /// Called when the connection is established. May be empty.
+        std::function<void(ClientLink &)> onConnected;
     };
 
     /// `replyBytes` limits what the links that share it buffer of their replies.
@@ -48,6 +50,8 @@
     /// Returns true if a request was sent and its reply has not been read.
     bool isBusy() const { return this->awaitingReply; }
     bool hasEnded() const { return this->closed; }
+    /// Returns true if no byte of the pending request was sent.
+    bool isRequestUnsent() const { return this->pendingRequest != nullptr; }
     /// Returns true if the link can send another request.
     bool isReusable() const
     {
--- a/drivers/edge/delegation_messages.cpp
+++ b/drivers/edge/delegation_messages.cpp
@@ -39,6 +39,43 @@
     return std::clamp<Duration>(Duration(microseconds), Duration(0), maxTimeLeft);
 }
 
+void encodeFields(const HeaderFields &fields,
+                  google::protobuf::RepeatedPtrField<proto::HeaderField> &encoded)
+{
+    for (const auto &[name, value] : fields) {
+        proto::HeaderField &field = *encoded.Add();
+        field.set_name(name);
+        field.set_value(value);
+    }
+}
+
+HeaderFields decodeFields(const google::protobuf::RepeatedPtrField<proto::HeaderField> &encoded)
+{
+    HeaderFields fields;
+    for (const proto::HeaderField &field : encoded) {
+        fields.emplace_back(field.name(), field.value());
+    }
+    return fields;
+}
+
+std::shared_ptr<const ForwardedReply> decodeForwardedReply(const proto::ForwardedReply &encoded)
+{
+    auto reply = std::make_shared<ForwardedReply>();
+    reply->status = static_cast<int>(encoded.status());
+    reply->reason = encoded.reason();
+    reply->fields = decodeFields(encoded.fields());
+    reply->body = encoded.body();
+    return reply;
+}
+
+void encodeForwardedReply(const ForwardedReply &reply, proto::ForwardedReply &encoded)
+{
+    encoded.set_status(static_cast<std::uint32_t>(reply.status));
+    encoded.set_reason(reply.reason);
+    encodeFields(reply.fields, *encoded.mutable_fields());
+    encoded.set_body(reply.body);
+}
+
 DelegatedRequest decodeRequest(const proto::DelegatedRequest &encoded)
 {
     ForwardedRequest request;
@@ -47,9 +84,7 @@
     request.host = encoded.host();
     request.path = encoded.path();
     request.body = encoded.body();
-    for (const proto::HeaderField &field : encoded.fields()) {
-        request.fields.emplace_back(field.name(), field.value());
-    }
+    request.fields = decodeFields(encoded.fields());
     DelegatedRequest query;
     query.number = encoded.number();
     query.request = std::make_shared<const ForwardedRequest>(std::move(request));
@@ -71,6 +106,8 @@
         return DelegationState::Leaving;
     case proto::DELEGATION_OUTDATED:
         return DelegationState::Outdated;
+    case proto::DELEGATION_UNREACHABLE:
+        return DelegationState::Unreachable;
     default:
         // A state of a later version can only be a reason for not starting the query.
         return DelegationState::Expired;
@@ -88,6 +125,8 @@
         return proto::DELEGATION_LEAVING;
     case DelegationState::Outdated:
         return proto::DELEGATION_OUTDATED;
+    case DelegationState::Unreachable:
+        return proto::DELEGATION_UNREACHABLE;
     case DelegationState::Expired:
         break;
     }
@@ -115,6 +154,13 @@
     answer.reply.retryAfter = decodeDuration(encoded.retry_after_us());
     answer.reply.detail = encoded.detail();
     answer.configVersion = encoded.config_version();
+    if (encoded.has_forwarded()) {
+        answer.reply.forwarded = decodeForwardedReply(encoded.forwarded());
+        answer.reply.status = answer.reply.forwarded->status;
+    }
+    for (const std::string &target : encoded.leaving_targets()) {
+        answer.leavingTargets.emplace_back(target);
+    }
     return answer;
 }
 
@@ -154,11 +200,7 @@
     encoded.set_host(query.request->host);
     encoded.set_path(query.request->path);
     encoded.set_body(query.request->body);
-    for (const auto &[name, value] : query.request->fields) {
-        proto::HeaderField &field = *encoded.add_fields();
-        field.set_name(name);
-        field.set_value(value);
-    }
+    encodeFields(query.request->fields, *encoded.mutable_fields());
     encoded.set_sent_at_us(encodeInstant(query.sentAt));
     encoded.set_objective_left_us(query.objectiveLeft.count());
     encoded.set_time_left_us(query.timeLeft.count());
@@ -203,6 +245,12 @@
     encoded.set_retry_after_us(answer.reply.retryAfter.count());
     encoded.set_detail(answer.reply.detail);
     encoded.set_config_version(answer.configVersion);
+    if (answer.reply.forwarded != nullptr) {
+        encodeForwardedReply(*answer.reply.forwarded, *encoded.mutable_forwarded());
+    }
+    for (const TargetId &target : answer.leavingTargets) {
+        encoded.add_leaving_targets(target.value);
+    }
     return message;
 }
 
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -74,6 +74,14 @@
     writer.sample({{"end", "lost"}}, status.counts.lost);
     writer.sample({{"end", "malformed"}}, status.counts.malformed);
     writer.sample({{"end", "closed"}}, status.counts.closed);
+    writeGauge(writer, "lagoondeck_target_path_up",
+               "1 when the instance reaches targets; 0 while it asks other members to serve its "
+               "requests.",
+               status.path == PathState::Up ? 1 : 0);
+    writeCounter(writer, "lagoondeck_help_requests_total",
+                 "Requests that other members were asked to serve because the instance did not "
+                 "reach the targets.",
+                 status.delegation.helpRequested);
     if (status.targetReplyAge) {
         writeGauge(writer, "lagoondeck_target_reply_age_seconds", "Since a target replied last.",
                    std::chrono::duration<double>(*status.targetReplyAge).count());
@@ -104,16 +112,17 @@
                "1 when the instance is one of the fleet's coordinators.",
                status.isCoordinator ? 1 : 0);
     writeCounter(writer, "lagoondeck_queries_coordinated_total",
-                 "Queries that were coordinated for other members.", status.coordinated);
+                 "Requests that were served for other members.", status.coordinated);
     writeCounter(writer, "lagoondeck_queries_delegated_total",
-                 "Queries that were sent to a coordinator.", status.delegation.delegated);
+                 "Requests that were sent to another member.", status.delegation.delegated);
     writeCounter(writer, "lagoondeck_delegations_declined_total",
-                 "Queries that a coordinator did not take.", status.delegation.declined);
+                 "Inquiries and requests that another member declined.",
+                 status.delegation.declined);
     writeCounter(writer, "lagoondeck_delegations_silent_total",
-                 "Queries to which a coordinator did not react in time.", status.delegation.silent);
+                 "Inquiries and requests to which another member did not react in time.",
+                 status.delegation.silent);
     writeCounter(writer, "lagoondeck_delegations_returned_total",
-                 "Delegated queries that this instance served itself after all.",
-                 status.delegation.returned);
+                 "Requests that no other member took.", status.delegation.returned);
     writeGauge(writer, "lagoondeck_ready", "1 when the instance takes callers.",
                status.ready ? 1 : 0);
     writeGauge(writer, "lagoondeck_stopping", "1 during a graceful stop.", status.stopping ? 1 : 0);
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -320,6 +320,8 @@
                            {"storeCalls", this->store.calls()},
                            {"connectionsOpened", this->targets.connectionsOpened()},
                            {"requestsSent", this->targets.requestsSent()},
+                           {"path", toString(status.path)},
+                           {"helpRequested", status.delegation.helpRequested},
                            {"coordinator", status.isCoordinator},
                            {"coordinated", status.coordinated},
                            {"delegated", status.delegation.delegated},
@@ -358,6 +360,16 @@
     this->targets.closeAttempt(effect.attempt);
 }
 
+void GatewayNode::execute(WithdrawUnsentAttempts &)
+{
+    this->targets.withdrawUnsent();
+}
+
+void GatewayNode::execute(ProbePath &effect)
+{
+    this->targets.probe(effect, monotonicNow());
+}
+
 void GatewayNode::execute(AnswerExchange &effect)
 {
     this->metrics.record(effect.end);
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -70,6 +70,8 @@
 
     void execute(StartAttempt &effect);
     void execute(CloseAttempt &effect);
+    void execute(WithdrawUnsentAttempts &effect);
+    void execute(ProbePath &effect);
     void execute(AnswerExchange &effect);
     void execute(CallStore &effect);
     void execute(DropIdleConnections &effect);
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -35,6 +35,12 @@
     return AttemptEndKind::Lost;
 }
 
+/// Identifies a target's process. One that restarts at another address gets a new key.
+std::string keyOf(const TargetId &target, const std::string &address)
+{
+    return target.value + "@" + address;
+}
+
 } // namespace
 
 TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten)
@@ -43,6 +49,7 @@
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
     };
+    this->hooks.onConnected = [this](ClientLink &link) { this->onConnected(link); };
     this->hooks.onEnd = [this](ClientLink &link, LinkEndKind end) { this->onEnd(link, end); };
 }
 
@@ -65,19 +72,46 @@
     return nullptr;
 }
 
+ClientLink &TargetLinks::openLink(const std::string &key, const std::string &address, Instant now)
+{
+    const std::uint64_t id = ++this->lastId;
+    Entry &entry = this->links[id];
+    entry.link = std::make_unique<ClientLink>(this->loop, address, id, this->hooks,
+                                              this->replyBytes, now);
+    entry.key = key;
+    ++this->openedCount;
+    return *entry.link;
+}
+
+void TargetLinks::keepIdle(ClientLink &link, Duration idleTime)
+{
+    link.idleUntil = monotonicNow() + std::max(idleTime - idleMargin, idleTime / 2);
+    this->idle[this->links.at(link.id()).key].push_back(link.id());
+}
+
+void TargetLinks::probe(const ProbePath &effect, Instant now)
+{
+    ClientLink &link = this->openLink(keyOf(effect.target, effect.address), effect.address, now);
+    this->links.at(link.id()).probe = effect.number;
+    link.idleUntil = Instant::max();
+    link.start();
+}
+
+void TargetLinks::onConnected(ClientLink &link)
+{
+    if (const std::uint64_t probe = std::exchange(this->links.at(link.id()).probe, 0); probe != 0) {
+        this->keepIdle(link, defaultIdleTime);
+        this->sink(PathProbed {probe, true});
+    }
+}
+
 void TargetLinks::startAttempt(const StartAttempt &effect, Instant now)
 {
-    const std::string key = effect.target.value + "@" + effect.address;
+    const std::string key = keyOf(effect.target, effect.address);
     ClientLink *link = this->takeIdle(key, now);
     const bool isNew = link == nullptr;
     if (isNew) {
-        const std::uint64_t id = ++this->lastId;
-        Entry &entry = this->links[id];
-        entry.link = std::make_unique<ClientLink>(this->loop, effect.address, id, this->hooks,
-                                                  this->replyBytes, now);
-        entry.key = key;
-        link = entry.link.get();
-        ++this->openedCount;
+        link = &this->openLink(key, effect.address, now);
     }
     Entry &entry = this->links.at(link->id());
     entry.attempt = effect.attempt;
@@ -115,8 +149,7 @@
     entry.attempt = AttemptId();
     entry.request.reset();
     if (link.isReusable()) {
-        link.idleUntil = monotonicNow() + std::max(idleTime - idleMargin, idleTime / 2);
-        this->idle[entry.key].push_back(link.id());
+        this->keepIdle(link, idleTime);
     }
     this->sink(AttemptReplied {attempt, std::move(reply), std::exchange(entry.isNew, false)});
     return true;
@@ -137,6 +170,9 @@
         this->linkByAttempt.erase(entry.attempt);
         this->sink(AttemptEnded {entry.attempt, toAttemptEndKind(end)});
     }
+    if (entry.probe != 0) {
+        this->sink(PathProbed {entry.probe, false});
+    }
     this->loop.deleteLater(std::move(entry.link));
 }
 
@@ -147,6 +183,19 @@
     }
 }
 
+void TargetLinks::withdrawUnsent()
+{
+    std::vector<ClientLink *> unsent;
+    for (const auto &[id, entry] : this->links) {
+        if (entry.link->isRequestUnsent()) {
+            unsent.push_back(entry.link.get());
+        }
+    }
+    for (ClientLink *link : unsent) {
+        link->close(LinkEndKind::Unreachable);
+    }
+}
+
 void TargetLinks::dropIdle()
 {
     std::vector<ClientLink *> idleLinks;
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -29,6 +29,10 @@
     void startAttempt(const StartAttempt &effect, Instant now);
     /// Closes the connection of an attempt, so that the target drops the request.
     void closeAttempt(AttemptId attempt);
+    /// Ends the attempts whose request was not sent yet.
+    void withdrawUnsent();
+    /// Connects to a target without sending a request. The connection is kept for later requests.
+    void probe(const ProbePath &effect, Instant now);
     /// Closes the idle connections.
     void dropIdle();
     void checkTimeouts(Instant now);
@@ -41,14 +45,19 @@
     struct Entry
     {
         std::unique_ptr<ClientLink> link;
-        /// The target's id and address. A target that restarts at another address gets a new key.
+        /// Identifies the target's process.
         std::string key;
         AttemptId attempt;
         std::shared_ptr<const ForwardedRequest> request;
         /// Whether no reply has been read on the connection.
         bool isNew = true;
+        /// The probe for which the connection is made; 0 if there is none.
+        std::uint64_t probe = 0;
     };
 
+    ClientLink &openLink(const std::string &key, const std::string &address, Instant now);
+    void keepIdle(ClientLink &link, Duration idleTime);
+    void onConnected(ClientLink &link);
     bool onReply(ClientLink &link, HttpMessage message);
     void onEnd(ClientLink &link, LinkEndKind end);
     ClientLink *takeIdle(const std::string &key, Instant now);
--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -46,6 +46,8 @@
     Duration storeDataAge {};
     /// Empty if the request came from a caller.
     std::optional<DelegationOrigin> origin;
+    /// Whether the other members were asked for help and none of them took the request.
+    bool isDeclined = false;
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/coordinator_capacity.cpp
+++ b/logic/gateway/coordinator_capacity.cpp
@@ -15,6 +15,7 @@
 constexpr double bitsPerPart = 12000.0;
 constexpr double usableLinkFraction = 0.33;
 constexpr double bitsPerMegabit = 1e6;
+constexpr std::uint32_t defaultCapacity = 500;
 
 } // namespace
 
@@ -29,4 +30,10 @@
     return static_cast<std::uint32_t>(std::min(capacity, maxCapacity));
 }
 
+std::uint32_t delegationCapacity(const GatewaySettings &settings)
+{
+    const std::uint32_t capacity = coordinatorCapacity(settings);
+    return capacity > 0 ? capacity : defaultCapacity;
+}
+
 } // namespace lagoondeck
--- a/logic/gateway/coordinator_capacity.h
+++ b/logic/gateway/coordinator_capacity.h
@@ -10,4 +10,8 @@
 /// members without delaying them. Returns 0 if its settings don't tell its processor share.
 std::uint32_t coordinatorCapacity(const GatewaySettings &settings);
 
+/// Returns how many parts of requests an instance sends per second for members that ask it. If its
+/// settings don't tell its processor share, this is what a small share allows.
+std::uint32_t delegationCapacity(const GatewaySettings &settings);
+
 } // namespace lagoondeck
--- a/logic/gateway/delegation.cpp
+++ b/logic/gateway/delegation.cpp
@@ -15,6 +15,8 @@
         return "outdated";
     case DelegationState::Expired:
         return "expired";
+    case DelegationState::Unreachable:
+        return "unreachable";
     }
     return "unknown";
 }
--- a/logic/gateway/delegation.h
+++ b/logic/gateway/delegation.h
@@ -9,25 +9,26 @@
 #include <string>
 #include <vector>
 
-// What members send one another about requests that one coordinates for another.
+// What members send one another about requests that one serves for another.
 
 namespace lagoondeck {
 
-/// Whether a member coordinates a query.
+/// Whether a member serves a request.
 enum class DelegationState {
-    Accepted, ///< It does, or would do so.
-    Busy,     ///< It has no capacity left.
-    Leaving,  ///< It is stopping.
-    Outdated, ///< Its configuration is older or does not have the route.
-    Expired,  ///< The query was sent too long ago.
+    Accepted,    ///< It does, or would do so.
+    Busy,        ///< It has no capacity left.
+    Leaving,     ///< It is stopping.
+    Outdated,    ///< Its configuration is older or does not have the route.
+    Expired,     ///< The request was sent too long ago.
+    Unreachable, ///< It does not reach the targets itself.
 };
 
 const char *toString(DelegationState state);
 
-/// Asks a member whether it would coordinate a query now.
+/// Asks a member whether it would serve a request now.
 struct CoordinatorInquiry
 {
-    /// The sender's number for the query, unique among its queries.
+    /// The sender's number for the request, unique among its requests.
     std::uint64_t number = 0;
     /// The receiver's configuration must not be older.
     std::uint64_t minConfigVersion = 0;
@@ -42,8 +43,8 @@
     Instant sentAt {};
 };
 
-/// A gathered request that a member asks another one to coordinate: to send it to the targets and
-/// to merge their replies.
+/// A request that a member asks another one to serve: to send it to the targets and to send their
+/// reply back, merged if the request is gathered.
 struct DelegatedRequest
 {
     /// The number of the inquiry.
@@ -77,6 +78,8 @@
     std::string requestId;
     CallerReply reply;
     std::uint64_t configVersion = 0;
+    /// Targets that said in replies to the request that they are leaving.
+    std::vector<TargetId> leavingTargets;
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/delegation_intake.cpp
+++ b/logic/gateway/delegation_intake.cpp
@@ -1,5 +1,7 @@
 #include "logic/gateway/delegation_intake.h"
 
+#include "logic/gateway/forwarding_constants.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -7,9 +9,6 @@
 
 namespace {
 
-/// A query that was under way for longer than this is not started. Its sender waits for the answer
-/// until the objective, so an instance that was paused for a while must not begin with it.
-constexpr Duration maxTransitTime = std::chrono::milliseconds(25);
 /// By how much the time on an offer may be ahead of this instance's clock. It is ahead if the
 /// process has been restarted on another machine since.
 constexpr Duration maxClockLead = std::chrono::milliseconds(5);
@@ -31,39 +30,42 @@
     this->refilledAt = now;
 }
 
-DelegationState DelegationIntake::stateFor(std::uint64_t minConfigVersion, const RouteTable *routes,
-                                           bool stopping, Instant now)
+DelegationState DelegationIntake::stateFor(std::uint64_t minConfigVersion,
+                                           const IntakeConditions &conditions, Instant now)
 {
-    if (stopping) {
+    if (conditions.isStopping) {
         return DelegationState::Leaving;
     }
-    if (routes == nullptr || routes->config()->version < minConfigVersion) {
+    if (conditions.routes == nullptr || conditions.routes->config()->version < minConfigVersion) {
         return DelegationState::Outdated;
     }
+    if (!conditions.reachesTargets) {
+        return DelegationState::Unreachable;
+    }
     this->refillCapacity(now);
     return this->availableParts > 0.0 ? DelegationState::Accepted : DelegationState::Busy;
 }
 
-void DelegationIntake::reply(const InquiryReceived &event, const RouteTable *routes, bool stopping,
+void DelegationIntake::reply(const InquiryReceived &event, const IntakeConditions &conditions,
                              GatewayContext &context)
 {
     const DelegationState state =
-            this->stateFor(event.inquiry.minConfigVersion, routes, stopping, context.now);
+            this->stateFor(event.inquiry.minConfigVersion, conditions, context.now);
     context.emit(SendOffer {event.sender, {event.inquiry.number, state, context.now}});
 }
 
 std::optional<AdmittedRequest> DelegationIntake::take(const RequestDelegated &event,
-                                                      const RouteTable *routes, bool stopping,
+                                                      const IntakeConditions &conditions,
                                                       GatewayContext &context)
 {
     const DelegatedRequest &query = event.query;
-    DelegationState state = this->stateFor(query.minConfigVersion, routes, stopping, context.now);
+    DelegationState state = this->stateFor(query.minConfigVersion, conditions, context.now);
     const Route *route = nullptr;
     if (state == DelegationState::Accepted) {
-        route = routes->find(query.request->host, query.request->path);
-        if (route == nullptr || !route->gathers()) {
+        route = conditions.routes->find(query.request->host, query.request->path);
+        if (route == nullptr) {
             state = DelegationState::Outdated;
-        } else if (context.now - query.sentAt > maxTransitTime
+        } else if (context.now - query.sentAt > forwarding::maxTransitTime
                    || query.sentAt - context.now > maxClockLead) {
             state = DelegationState::Expired;
         }
@@ -72,14 +74,14 @@
         context.emit(SendReceipt {event.sender, {query.number, state}});
         return std::nullopt;
     }
-    // One query may use more than what is left; the next ones wait until it is regained.
-    this->availableParts -= static_cast<double>(route->gather.size());
+    // One request may use more than what is left; the next ones wait until it is regained.
+    this->availableParts -= route->gathers() ? static_cast<double>(route->gather.size()) : 1.0;
     AdmittedRequest request;
     request.id = ExchangeId(firstExchangeId + ++this->taken);
     request.request = query.request;
-    request.config = routes->config();
+    request.config = conditions.routes->config();
     request.route = route;
-    request.urgencyRank = routes->urgencyRank(*route);
+    request.urgencyRank = conditions.routes->urgencyRank(*route);
     request.arrivedAt = query.sentAt;
     request.objectiveAt = query.sentAt + query.objectiveLeft;
     request.lateAt = request.objectiveAt;
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -78,6 +78,8 @@
     /// When the exchange's next timer fires.
     Instant nextCheckAt = Instant::max();
     std::vector<Part> parts;
+    /// The targets that said in a reply that they are leaving.
+    std::vector<TargetId> leavingTargets;
 
     /// Adds a step to the trace that is logged when the exchange ends.
     void recordStep(TraceKind kind, std::size_t part, TargetId target, Instant now)
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -38,6 +38,8 @@
         return "no-configuration";
     case EndReason::NoTarget:
         return "no-target";
+    case EndReason::NoPath:
+        return "no-path";
     case EndReason::TargetsLimited:
         return "targets-limited";
     case EndReason::TargetFailed:
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -26,6 +26,7 @@
     NoRoute,
     NoConfiguration,
     NoTarget,       ///< No replica accepted the request.
+    NoPath,         ///< This instance reaches no target, and no member took the request.
     TargetsLimited, ///< The limits of the targets left no request.
     TargetFailed,   ///< A target's own failure reply was passed on.
     TargetsFailed,  ///< All attempts failed, and no further one was allowed.
--- a/logic/gateway/exchange_trace.cpp
+++ b/logic/gateway/exchange_trace.cpp
@@ -36,6 +36,8 @@
         return "paused";
     case TraceKind::Limited:
         return "limited";
+    case TraceKind::PathDown:
+        return "path-down";
     case TraceKind::NoBudget:
         return "no-budget";
     }
--- a/logic/gateway/exchange_trace.h
+++ b/logic/gateway/exchange_trace.h
@@ -25,6 +25,7 @@
     Avoided,  ///< All replicas failed recently, and the other parts reach the minimum coverage.
     Paused,   ///< All usable replicas asked this instance to pause.
     Limited,  ///< The limits of all replicas leave no request.
+    PathDown, ///< This instance's path to the targets is broken.
     NoBudget, ///< Another attempt would exceed the group's retry budget.
 };
 
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-Forwarder::Forwarder(TargetRegistry &targets, RetryAllowance allowance, std::uint64_t sampleOneIn)
-    : targets(targets), allowance(allowance), sampleOneIn(sampleOneIn)
+Forwarder::Forwarder(TargetRegistry &targets, TargetPath &path, RetryAllowance allowance,
+                     std::uint64_t sampleOneIn)
+    : targets(targets), path(path), allowance(allowance), sampleOneIn(sampleOneIn)
 { }
 
 Exchange *Forwarder::find(ExchangeId id)
@@ -111,7 +112,8 @@
     exchange.latency = &this->latencyOf(route);
     if (exchange.origin) {
         exchange.permittedUntil =
-                exchange.objectiveAt + forwarding::objectiveTolerance - forwarding::receiptDelay;
+                forwarding::firstReceiptBy(exchange.objectiveAt, exchange.arrivedAt)
+                - forwarding::receiptDelay;
         const Duration objectiveLeft = exchange.objectiveAt - context.now;
         exchange.objectiveAt -=
                 std::min(this->ownDelay(context.now), objectiveLeft / maxAnswerMarginDivisor);
@@ -202,7 +204,7 @@
             : reply.kind == ReplyClass::NotRun && !reply.otherInstance ? TargetOutcome::Shed
                                                                        : TargetOutcome::Failed;
     this->targets.onReply(*this->attempts.at(event.attempt).target, reply, context);
-    this->observeReply(event, context.now);
+    this->observeReply(event, context);
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
     this->updateLimit(attempt, reply, context);
     if (outcome == TargetOutcome::Answered) {
@@ -212,6 +214,9 @@
     if (exchange != nullptr && !this->dropUnpermitted(*exchange, context)) {
         Part &part = exchange->parts[attempt.part];
         exchange->recordStep(traceKindOf(reply.kind), attempt.part, attempt.targetId, context.now);
+        if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable) {
+            exchange->leavingTargets.push_back(attempt.targetId);
+        }
         if (reply.kind == ReplyClass::Success && part.isOpen()) {
             part.phase = PartPhase::Answered;
             part.reply = event.reply;
@@ -239,7 +244,7 @@
             : event.kind == AttemptEndKind::Lost   ? TargetOutcome::Lost
                                                    : TargetOutcome::Failed;
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
-    this->observeEnd(event.kind, attempt.targetId, context.now);
+    this->observeEnd(event.kind, attempt.targetId, context);
     Exchange *exchange = attempt.exchange ? this->find(*attempt.exchange) : nullptr;
     if (exchange != nullptr && !this->dropUnpermitted(*exchange, context)) {
         Part &part = exchange->parts[attempt.part];
@@ -291,7 +296,7 @@
             : isSlow                       ? TargetOutcome::Slow
                                            : TargetOutcome::Neutral;
     const GatewayAttempt attempt = this->removeAttempt(id, outcome, context);
-    this->observeEnd(AttemptEndKind::Closed, attempt.targetId, context.now);
+    this->observeEnd(AttemptEndKind::Closed, attempt.targetId, context);
     context.emit(CloseAttempt {id});
     this->sendWaitingParts(*attempt.group, context);
 }
@@ -312,6 +317,9 @@
         case TimerKind::Silence:
             this->observeSilence(context);
             break;
+        case TimerKind::PathBroken:
+            this->endStranded(context);
+            break;
         }
     }
 }
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -5,9 +5,9 @@
 #include "logic/gateway/delay_estimate.h"
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/gateway_effects.h"
-#include "logic/gateway/path_evidence.h"
 #include "logic/gateway/route_table.h"
 #include "logic/gateway/split_choice.h"
+#include "logic/gateway/target_path.h"
 #include "logic/gateway/target_registry.h"
 
 #include <cstddef>
@@ -53,7 +53,8 @@
 {
 public:
     /// Of the requests that end as Served, one in `sampleOneIn` is logged; 0 logs none.
-    Forwarder(TargetRegistry &targets, RetryAllowance allowance, std::uint64_t sampleOneIn);
+    Forwarder(TargetRegistry &targets, TargetPath &path, RetryAllowance allowance,
+              std::uint64_t sampleOneIn);
 
     /// Checks whether a caller's request may be served, and answers it if not. `storeDataAge` is
     /// the age of the latest data from the store.
@@ -91,15 +92,21 @@
     CrashTracker &crashTracker() { return this->trackedCrashes; }
     /// The loan requests of this instance.
     BudgetLoans &loans() { return this->budgetLoans; }
-    /// What the attempts tell about the network path to the targets.
-    const PathEvidence &evidence() const { return this->pathEvidence; }
     /// Called after this process was paused: replies may have waited unread.
     void onPaused(Instant now) { this->silentSince = now; }
-    /// Logs that the path to the targets seems to be broken, or no longer does.
-    void logPathChange(GatewayContext &context);
+    /// Called when this instance's path to the targets is down.
+    void onPathBroken(GatewayContext &context);
+    /// Closes the attempts that run on connections which fell silent, so that they are tried again
+    /// on new ones.
+    void closeSilentAttempts(GatewayContext &context);
+    /// Returns the requests that this instance can't send to targets itself. Nothing was sent for
+    /// them.
+    std::vector<AdmittedRequest> takeStranded() { return std::exchange(this->stranded, {}); }
+    /// Refuses a request for which there is no path to the targets.
+    void refuseWithoutPath(const AdmittedRequest &request, GatewayContext &context);
 
 private:
-    enum class TimerKind { Exchange, Attempt, Silence };
+    enum class TimerKind { Exchange, Attempt, Silence, PathBroken };
     struct Timer
     {
         Instant at {};
@@ -192,14 +199,21 @@
     // Observing the network path to the targets (forwarder_path.cpp).
 
     /// Records how an attempt ended.
-    void observeEnd(AttemptEndKind kind, const TargetId &target, Instant now);
-    void observeReply(const AttemptReplied &event, Instant now);
+    void observeEnd(AttemptEndKind kind, const TargetId &target, GatewayContext &context);
+    void observeReply(const AttemptReplied &event, GatewayContext &context);
     /// Sets the timer for observeSilence() unless it is set.
     void scheduleSilenceCheck(Instant at);
     /// Records the targets whose replies are overdue if no target has replied for a while.
     void observeSilence(GatewayContext &context);
 
+    /// Ends the exchanges that can't be completed because the path to the targets is down.
+    void endStranded(GatewayContext &context);
+    /// Leaves an exchange for which nothing was sent to another member. Returns false if that is
+    /// not possible.
+    bool leaveToMembers(Exchange &exchange, GatewayContext &context);
+
     TargetRegistry &targets;
+    TargetPath &path;
     RetryAllowance allowance;
     std::uint64_t sampleOneIn;
     ForwarderCounts attemptCounts;
@@ -220,8 +234,7 @@
     CrashTracker trackedCrashes;
     std::vector<CrashObservation> newCrashes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
-    PathEvidence pathEvidence;
-    bool pathSuspected = false;
+    std::vector<AdmittedRequest> stranded;
     bool silenceCheckScheduled = false;
     /// Attempts that were sent earlier count as sent at this time when a silence is measured.
     Instant silentSince = Instant::min();
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -21,6 +21,9 @@
 /// which keeps their connections usable. A target that takes longer is overloaded or stalled, and
 /// closing the connection frees its slot.
 constexpr int losingAttemptMedianFactor = 2;
+/// Longer replies are not sent to the member that delegated the request: the messages between
+/// members are limited.
+constexpr std::size_t maxDelegatedReply = 3 * 1024 * 1024;
 /// While a delegated request is served past its objective, the member that delegated it gets a
 /// receipt this often.
 constexpr Duration receiptInterval = std::chrono::milliseconds(100);
@@ -69,12 +72,19 @@
                        GatewayContext &context)
 {
     this->updateCrashTracker(exchange, context);
+    if (exchange.origin && reply.forwarded != nullptr
+        && reply.forwarded->body.size() > maxDelegatedReply) {
+        reply = CallerReply();
+        reply.status = forwarding::statusBadGateway;
+        reply.detail = "the target's reply is too long for another instance's caller; it has run";
+    }
     ExchangeEnd end = this->makeExchangeEnd(exchange, reason, reply.status, context.now);
     // The caller's answer comes first, because the other effects take time.
     if (exchange.origin) {
         context.emit(SendDelegatedAnswer {exchange.origin->address,
                                           {exchange.origin->number, exchange.request->requestId,
-                                           std::move(reply), exchange.config->version}});
+                                           std::move(reply), exchange.config->version,
+                                           exchange.leavingTargets}});
     } else {
         context.emit(AnswerExchange {exchange.id, std::move(reply), end});
     }
@@ -115,6 +125,8 @@
         reply.retryAfter = this->retryDelayFor(exchange, context);
         reply.detail = "not run: the targets take no more requests now";
         this->finish(exchange, std::move(reply), EndReason::TargetsLimited, context);
+    } else if (!exchange.mayHaveRun() && this->leaveToMembers(exchange, context)) {
+        return;
     } else if (!exchange.mayHaveRun()) {
         reply.status = forwarding::statusUnavailable;
         reply.retryAfter = forwarding::retryAfterRefusal;
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -1,10 +1,14 @@
-// The part of Forwarder that observes the network path from this instance to the targets.
+// The part of Forwarder that observes the network path to the targets and ends what a broken path
+// holds up.
 
+#include "logic/gateway/exchange_log.h"
 #include "logic/gateway/forwarder.h"
 #include "logic/gateway/forwarding_constants.h"
 
 #include <algorithm>
+#include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace lagoondeck {
@@ -13,6 +17,8 @@
 
 /// A reply is overdue after this many times the latency that few attempts exceed.
 constexpr int silenceFactor = 2;
+/// When a caller may try again at an instance that has no path to the targets.
+constexpr Duration retryAfterWithoutPath = std::chrono::milliseconds(250);
 
 Duration silenceLimit(const LatencyModel &latency)
 {
@@ -21,12 +27,12 @@
 
 } // namespace
 
-void Forwarder::observeEnd(AttemptEndKind kind, const TargetId &target, Instant now)
+void Forwarder::observeEnd(AttemptEndKind kind, const TargetId &target, GatewayContext &context)
 {
     switch (kind) {
     case AttemptEndKind::Unreachable:
         ++this->attemptCounts.unreachable;
-        this->pathEvidence.onConnectFailed(target, now);
+        this->path.onConnectFailed(target, context);
         break;
     case AttemptEndKind::Lost:
         ++this->attemptCounts.lost;
@@ -40,23 +46,10 @@
     }
 }
 
-void Forwarder::observeReply(const AttemptReplied &event, Instant now)
+void Forwarder::observeReply(const AttemptReplied &event, GatewayContext &context)
 {
     ++this->attemptCounts.replied;
-    this->pathEvidence.onReply(event.onNewConnection, now);
-}
-
-void Forwarder::logPathChange(GatewayContext &context)
-{
-    if (this->pathEvidence.empty() && !this->pathSuspected) {
-        return;
-    }
-    const bool suspected = this->pathEvidence.suggestsBrokenPath(
-            this->targets.countUsable(PathEvidence::maxRequiredTargets), context.now);
-    if (std::exchange(this->pathSuspected, suspected) != suspected) {
-        context.log(suspected ? LogEvent::TargetPathSuspected : LogEvent::TargetPathUp,
-                    this->pathEvidence.logFields(context.now));
-    }
+    this->path.onReply(event.onNewConnection, context);
 }
 
 void Forwarder::scheduleSilenceCheck(Instant at)
@@ -72,7 +65,7 @@
     if (this->attempts.empty()) {
         return;
     }
-    const Instant heardAt = std::max(this->pathEvidence.lastReplyAt(), this->silentSince);
+    const Instant heardAt = std::max(this->path.lastReplyAt(), this->silentSince);
     if (heardAt != Instant::min() && context.now - heardAt < forwarding::minSilence) {
         this->scheduleSilenceCheck(heardAt + forwarding::minSilence);
         return;
@@ -88,8 +81,80 @@
             next = std::min(next, overdueAt);
         }
     }
-    this->pathEvidence.onSilence(std::vector(overdue.begin(), overdue.end()), context.now);
+    this->path.onSilence(std::vector(overdue.begin(), overdue.end()), context);
     this->scheduleSilenceCheck(next);
 }
 
+void Forwarder::onPathBroken(GatewayContext &context)
+{
+    context.emit(WithdrawUnsentAttempts {});
+    // First the withdrawn attempts end, which shows what was not sent.
+    this->timers.push({context.now, TimerKind::PathBroken});
+}
+
+void Forwarder::endStranded(GatewayContext &context)
+{
+    if (this->path.state() != PathState::Down) {
+        return;
+    }
+    std::vector<ExchangeId> ids;
+    for (const auto &[id, exchange] : this->exchanges) {
+        ids.push_back(id);
+    }
+    const bool isSilent = this->path.isSilent(context.now);
+    for (const ExchangeId id : ids) {
+        Exchange &exchange = this->exchanges.at(id);
+        if (exchange.isDeclined || exchange.meetsMinimumCoverage(exchange.answeredPartCount())) {
+            continue;
+        }
+        // A request that may not run twice waits: its reply may still arrive once the path works.
+        if (!exchange.mayHaveRun() || (exchange.route->idempotent && isSilent)) {
+            this->fail(exchange, context);
+        }
+    }
+}
+
+bool Forwarder::leaveToMembers(Exchange &exchange, GatewayContext &context)
+{
+    if (exchange.isDeclined || this->path.state() == PathState::Up
+        || context.now >= exchange.deadlineAt) {
+        return false;
+    }
+    if (exchange.origin) {
+        context.emit(SendReceipt {exchange.origin->address,
+                                  {exchange.origin->number, DelegationState::Unreachable}});
+    } else {
+        this->stranded.push_back(static_cast<const AdmittedRequest &>(exchange));
+    }
+    this->erase(exchange);
+    return true;
+}
+
+void Forwarder::refuseWithoutPath(const AdmittedRequest &request, GatewayContext &context)
+{
+    // The path is probed several times in this time, and the callers should not return together.
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    CallerReply reply;
+    reply.status = forwarding::statusUnavailable;
+    reply.retryAfter =
+            std::chrono::duration_cast<Duration>(retryAfterWithoutPath * spread(context.random));
+    reply.detail = "not run: this instance reaches no target, and no other one took the request";
+    ExchangeEnd end {request.route->name, ExchangeOutcome::Refused, EndReason::NoPath,
+                     context.now - request.arrivedAt};
+    logExchangeEnd(*request.request, end, nullptr, this->sampleOneIn, context);
+    context.emit(AnswerExchange {request.id, std::move(reply), std::move(end)});
+}
+
+void Forwarder::closeSilentAttempts(GatewayContext &context)
+{
+    for (const auto &[id, attempt] : this->attempts) {
+        const Exchange *exchange = attempt.exchange ? this->find(*attempt.exchange) : nullptr;
+        if (exchange != nullptr && exchange->route->idempotent
+            && exchange->parts[attempt.part].possibleRuns < exchange->route->attempts
+            && attempt.sentAt + silenceLimit(*attempt.latency) <= context.now) {
+            context.emit(CloseAttempt {id});
+        }
+    }
+}
+
 } // namespace lagoondeck
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -271,6 +271,11 @@
     if (!part.runningAttempts.empty() || !part.isOpen()) {
         return;
     }
+    if (this->path.state() == PathState::Down && !exchange.isDeclined) {
+        part.phase = PartPhase::Abandoned;
+        exchange.recordStep(TraceKind::PathDown, index, {}, context.now);
+        return;
+    }
     const bool canRepeat = exchange.route->idempotent || part.possibleRuns == 0;
     const bool hasTimeLeft = context.now + forwarding::replyTransfer < exchange.deadlineAt;
     if (!canRepeat || !hasTimeLeft || part.possibleRuns >= exchange.route->attempts
--- a/logic/gateway/forwarding_constants.h
+++ b/logic/gateway/forwarding_constants.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include <algorithm>
+
 namespace lagoondeck::forwarding {
 
 // Constants shared by the source files of Forwarder.
@@ -30,4 +32,15 @@
 /// side starts.
 inline constexpr Duration receiptDelay = std::chrono::milliseconds(5);
 
+/// A request that was under way for longer than this is not started by the member that got it: it
+/// may have been paused, and must not begin when the sender does not expect it any more.
+inline constexpr Duration maxTransitTime = std::chrono::milliseconds(25);
+
+/// Returns when the member that delegated a request at the given time expects its answer or the
+/// first receipt. The first receipt is sent at the objective, or at once if that has passed.
+inline Instant firstReceiptBy(Instant objectiveAt, Instant delegatedAt)
+{
+    return std::max(objectiveAt, delegatedAt + maxTransitTime) + objectiveTolerance;
+}
+
 } // namespace lagoondeck::forwarding
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 Gateway::Gateway(const GatewaySettings &settings)
-    : settings(settings), random(settings.seed), storeSync(settings, this->targets),
-      registration(settings), forwarder(this->targets, settings.retries, settings.logSampleOneIn),
+    : settings(settings), random(settings.seed), path(this->targets),
+      storeSync(settings, this->targets), registration(settings),
+      forwarder(this->targets, this->path, settings.retries, settings.logSampleOneIn),
       delegator(settings.failureDomain, settings.logSampleOneIn, this->random()),
-      intake(coordinatorCapacity(settings))
+      intake(delegationCapacity(settings))
 { }
 
 std::vector<GatewayEffect> Gateway::apply(const GatewayEvent &event, Instant now)
@@ -33,11 +34,11 @@
     std::vector<GatewayEffect> effects;
     GatewayContext context {now, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event);
-    this->startReturnedRequests(context);
+    this->applyPathChange(context);
+    this->passOnRequests(context);
     this->requestBudget(context);
     this->targets.limits().loans().sendRequests(context);
     this->reportCrashes(context);
-    this->forwarder.logPathChange(context);
     return effects;
 }
 
@@ -75,16 +76,55 @@
                                   context.now - this->storeSync.lastConfirmedAt(), context);
     if (request && request->route->gathers()) {
         this->gatheredRate.add(context.now);
-        if (this->shouldDelegate(context.now)) {
-            request = this->delegator.delegate(std::move(*request), this->ranking(context.now),
-                                               context);
-        }
+    }
+    if (request && !this->path.carriesRequest(context)) {
+        this->requestHelp(std::move(*request), context);
+        return;
+    }
+    if (request && request->route->gathers() && this->shouldDelegate(context.now)) {
+        request =
+                this->delegator.delegate(std::move(*request), this->ranking(context.now), context);
     }
     if (request) {
         this->forwarder.start(std::move(*request), context);
     }
 }
 
+void Gateway::requestHelp(AdmittedRequest request, GatewayContext &context)
+{
+    if (auto declined = this->delegator.requestHelp(std::move(request), this->ranking(context.now),
+                                                    this->helpers, context)) {
+        this->startReturned(std::move(*declined), context);
+    }
+}
+
+void Gateway::startReturned(AdmittedRequest request, GatewayContext &context)
+{
+    // While the path is only suspected, or if open connections still work, it is worth a try.
+    if (request.isDeclined && this->path.isSilent(context.now)) {
+        this->forwarder.refuseWithoutPath(request, context);
+    } else {
+        this->forwarder.start(std::move(request), context);
+    }
+}
+
+void Gateway::applyPathChange(GatewayContext &context)
+{
+    if (const auto change = this->path.takeChange()) {
+        switch (*change) {
+        case PathChange::Broke:
+            this->forwarder.onPathBroken(context);
+            break;
+        case PathChange::Returned:
+            break;
+        case PathChange::ConnectionsDied:
+            context.emit(DropIdleConnections {});
+            this->forwarder.closeSilentAttempts(context);
+            break;
+        }
+    }
+}
+
 bool Gateway::shouldDelegate(Instant now)
 {
     const CoordinatorRanking &current = this->ranking(now);
@@ -110,10 +150,13 @@
     return this->coordinatorRanking;
 }
 
-void Gateway::startReturnedRequests(GatewayContext &context)
+void Gateway::passOnRequests(GatewayContext &context)
 {
     for (AdmittedRequest &request : this->delegator.takeReturned()) {
-        this->forwarder.start(std::move(request), context);
+        this->startReturned(std::move(request), context);
+    }
+    for (AdmittedRequest &request : this->forwarder.takeStranded()) {
+        this->requestHelp(std::move(request), context);
     }
 }
 
@@ -122,9 +165,14 @@
     return this->storeSync.isReady() ? this->storeSync.routes().get() : nullptr;
 }
 
+IntakeConditions Gateway::intakeConditions() const
+{
+    return {this->readyRoutes(), this->stopping, this->path.state() == PathState::Up};
+}
+
 void Gateway::on(const InquiryReceived &event, GatewayContext &context)
 {
-    this->intake.reply(event, this->readyRoutes(), this->stopping, context);
+    this->intake.reply(event, this->intakeConditions(), context);
 }
 
 void Gateway::on(const OfferReceived &event, GatewayContext &context)
@@ -134,7 +182,7 @@
 
 void Gateway::on(const RequestDelegated &event, GatewayContext &context)
 {
-    if (auto request = this->intake.take(event, this->readyRoutes(), this->stopping, context)) {
+    if (auto request = this->intake.take(event, this->intakeConditions(), context)) {
         // Keeps the share of the connections up to date on an instance without own callers.
         this->ranking(context.now);
         this->forwarder.start(std::move(*request), context);
@@ -149,6 +197,9 @@
 void Gateway::on(const DelegatedAnswerReceived &event, GatewayContext &context)
 {
     this->delegator.onAnswer(event, context);
+    for (const TargetId &target : event.answer.leavingTargets) {
+        this->targets.onLeavingReported(target, context);
+    }
 }
 
 void Gateway::on(const DelegationCancelled &event, GatewayContext &context)
@@ -178,6 +229,11 @@
     this->forwarder.onEnded(event, context);
 }
 
+void Gateway::on(const PathProbed &event, GatewayContext &context)
+{
+    this->path.onProbed(event, context);
+}
+
 void Gateway::on(const StoreAnswered &event, GatewayContext &context)
 {
     if (event.answer.status == StoreCallStatus::NoAnswer) {
@@ -297,6 +353,8 @@
 {
     if (this->recentMembers.update(this->storeSync.members(), now)) {
         this->targets.limits().setMembers(this->recentMembers.all());
+        this->helpers.setMembers(this->recentMembers.all(), this->settings.id,
+                                 this->settings.failureDomain);
     }
     std::size_t instances = std::max<std::size_t>(this->recentMembers.size(), 1);
     if (now - this->startedAt < assumedInstancesPeriod) {
@@ -311,6 +369,7 @@
     this->registration.onTimer(context);
     this->delegator.onTimer(context);
     this->forwarder.onTimer(context);
+    this->path.onTimer(context);
     this->reportLimits(context);
 }
 
@@ -333,7 +392,7 @@
 {
     return std::min({this->storeSync.nextTimer(), this->registration.nextTimer(),
                      this->delegator.nextTimer(), this->forwarder.nextTimer(),
-                     this->targets.limits().nextTimer()});
+                     this->path.nextTimer(), this->targets.limits().nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
@@ -360,8 +419,8 @@
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
-    if (const Instant repliedAt = this->forwarder.evidence().lastReplyAt();
-        repliedAt != Instant::min()) {
+    status.path = this->path.state();
+    if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
         status.targetReplyAge = now - repliedAt;
     }
     status.storeDataAge = now - this->storeSync.lastConfirmedAt();
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -6,12 +6,14 @@
 #include "logic/gateway/forwarder.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
+#include "logic/gateway/helper_choice.h"
 #include "logic/gateway/query_rate.h"
 #include "logic/gateway/recent_members.h"
 #include "logic/gateway/registration.h"
 #include "logic/gateway/request_delegator.h"
 #include "logic/gateway/seen_numbers.h"
 #include "logic/gateway/store_sync.h"
+#include "logic/gateway/target_path.h"
 #include "logic/gateway/target_registry.h"
 
 #include <array>
@@ -35,6 +37,7 @@
     /// How long ago the known state was last confirmed by the store or by a member that had read
     /// the store.
     Duration storeDataAge {};
+    PathState path = PathState::Up;
     /// How long ago the last target replied; empty if none has.
     std::optional<Duration> targetReplyAge;
     /// The store's history; it increases each time that the store is restored from a copy.
@@ -79,6 +82,7 @@
     void on(const AnswerWritten &event, GatewayContext &context);
     void on(const AttemptReplied &event, GatewayContext &context);
     void on(const AttemptEnded &event, GatewayContext &context);
+    void on(const PathProbed &event, GatewayContext &context);
     void on(const StoreAnswered &event, GatewayContext &context);
     void on(const StoreUpdateReceived &event, GatewayContext &context);
     void on(const BudgetRequested &event, GatewayContext &context);
@@ -102,8 +106,15 @@
     const CoordinatorRanking &ranking(Instant now);
     /// Returns true if this instance should delegate a gathered query that has arrived.
     bool shouldDelegate(Instant now);
-    /// Serves the requests that no coordinator served.
-    void startReturnedRequests(GatewayContext &context);
+    /// Applies a change of the path to the targets to the running requests.
+    void applyPathChange(GatewayContext &context);
+    /// Asks other members to serve a request, or serves it if there is nobody to ask.
+    void requestHelp(AdmittedRequest request, GatewayContext &context);
+    /// Serves or refuses a request that no other member took.
+    void startReturned(AdmittedRequest request, GatewayContext &context);
+    /// Passes on the requests that are not served where they were.
+    void passOnRequests(GatewayContext &context);
+    IntakeConditions intakeConditions() const;
     /// Reports requests that may crash targets to other members.
     void reportCrashes(GatewayContext &context);
     /// Tells other members of limits that targets stated to this instance.
@@ -122,6 +133,7 @@
     Instant startedAt {};
     bool stopping = false;
     TargetRegistry targets;
+    TargetPath path;
     StoreSync storeSync;
     Registration registration;
     Forwarder forwarder;
@@ -134,6 +146,7 @@
     SeenNumbers seenReports;
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
+    HelperChoice helpers;
     /// The revisions of the members, targets and configuration that the ranking is computed from.
     std::array<std::uint64_t, 3> rankedRevisions {};
 };
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -33,6 +33,20 @@
     AttemptId attempt;
 };
 
+/// Ends all attempts whose request has not been written yet, as unreachable.
+struct WithdrawUnsentAttempts
+{
+};
+
+/// Connects to a target without sending a request.
+struct ProbePath
+{
+    /// Identifies the probe; its end contains it.
+    std::uint64_t number = 0;
+    TargetId target;
+    std::string address;
+};
+
 /// Answers a caller. Emitted exactly once for each RequestArrived whose caller has not left.
 struct AnswerExchange
 {
@@ -167,10 +181,10 @@
 };
 
 using GatewayEffect =
-        std::variant<StartAttempt, CloseAttempt, AnswerExchange, CallStore, DropIdleConnections,
-                     SendStoreUpdate, RequestBudget, LendBudget, ReportCrash, ReportLimits,
-                     RequestLimit, LendLimit, SendInquiry, SendOffer, DelegateRequest,
-                     CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
+        std::variant<StartAttempt, CloseAttempt, WithdrawUnsentAttempts, ProbePath, AnswerExchange,
+                     CallStore, DropIdleConnections, SendStoreUpdate, RequestBudget, LendBudget,
+                     ReportCrash, ReportLimits, RequestLimit, LendLimit, SendInquiry, SendOffer,
+                     DelegateRequest, CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
 /// applied.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -75,6 +75,14 @@
     AttemptEndKind kind = AttemptEndKind::Lost;
 };
 
+/// A probe's connection was made or could not be made.
+struct PathProbed
+{
+    /// The number of the probe.
+    std::uint64_t number = 0;
+    bool connected = false;
+};
+
 /// The store answered a call or failed to answer it in time.
 struct StoreAnswered
 {
@@ -284,9 +292,10 @@
 
 using GatewayEvent =
         std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
-                     AttemptEnded, StoreAnswered, StoreUpdateReceived, BudgetRequested, BudgetLent,
-                     CrashReported, LimitsReported, LimitRequested, LimitLent, InquiryReceived,
-                     OfferReceived, RequestDelegated, ReceiptReceived, DelegatedAnswerReceived,
-                     DelegationCancelled, TimerDue, ProcessPaused, GatewayStopRequested>;
+                     AttemptEnded, PathProbed, StoreAnswered, StoreUpdateReceived, BudgetRequested,
+                     BudgetLent, CrashReported, LimitsReported, LimitRequested, LimitLent,
+                     InquiryReceived, OfferReceived, RequestDelegated, ReceiptReceived,
+                     DelegatedAnswerReceived, DelegationCancelled, TimerDue, ProcessPaused,
+                     GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/request_delegator.cpp
+++ b/logic/gateway/request_delegator.cpp
@@ -11,22 +11,35 @@
 namespace {
 
 constexpr int statusOk = 200;
-/// How many coordinators are asked for one query.
+constexpr int firstErrorStatus = 400;
+/// How many members are asked for one request at the same time.
 constexpr std::size_t maxAsked = 2;
-/// A coordinator that has not replied to an inquiry after this long is silent: some round trips
-/// between failure domains, plus an iteration of a busy event loop. Asking again costs nothing but
-/// time, so this is short.
+/// How many members are asked for help with one request in turn.
+constexpr std::size_t maxHelpersAsked = 8;
+/// A member that has not replied to an inquiry after this long is silent: some round trips between
+/// failure domains, plus an iteration of a busy event loop. Asking again costs nothing but time, so
+/// this is short.
 constexpr Duration offerTimeout = std::chrono::milliseconds(12);
+/// How long an offer of help is awaited, because there may be no other way to serve the request:
+/// connections to members may have to be made first.
+constexpr Duration maxHelpWait = std::chrono::milliseconds(50);
 /// The time for the answer's way back from the coordinator.
 constexpr Duration returnTime = std::chrono::milliseconds(3);
-/// Larger requests are not worth sending twice.
+/// Larger requests are not worth sending twice, unless there is no other way.
 constexpr std::size_t maxDelegatedBody = 8 * 1024;
+constexpr std::size_t maxHelpedBody = 1024 * 1024;
 
-/// Returns how long a coordinator is avoided after it declined a query.
+/// Returns how long a member is avoided after it declined a request.
 Duration avoidanceAfter(DelegationState state)
 {
-    return state == DelegationState::Leaving ? Duration(std::chrono::seconds(10))
-                                             : Duration(std::chrono::milliseconds(300));
+    switch (state) {
+    case DelegationState::Leaving:
+        return std::chrono::seconds(10);
+    case DelegationState::Unreachable:
+        return std::chrono::seconds(1);
+    default:
+        return std::chrono::milliseconds(300);
+    }
 }
 
 ExchangeEnd endOf(const AdmittedRequest &request, const CallerReply &reply, Instant now)
@@ -36,7 +49,10 @@
     end.elapsed = now - request.arrivedAt;
     end.partsAnswered = reply.partSignatures.size();
     end.partsNeeded = end.partsAnswered + reply.partsMissing;
-    if (reply.status == statusOk) {
+    if (reply.forwarded != nullptr && reply.status >= firstErrorStatus) {
+        end.outcome = ExchangeOutcome::Failed;
+        end.reason = EndReason::TargetFailed;
+    } else if (reply.status == statusOk || reply.forwarded != nullptr) {
         const bool isLate = now > request.lateAt;
         end.outcome = isLate             ? ExchangeOutcome::Late
                 : reply.partsMissing > 0 ? ExchangeOutcome::Partial
@@ -62,8 +78,8 @@
     : domain(std::move(domain)), sampleOneIn(sampleOneIn), lastNumber(firstNumber)
 { }
 
-std::vector<MemberRecord> RequestDelegator::choose(const CoordinatorRanking &ranking,
-                                                   GatewayContext &context)
+std::vector<MemberRecord> RequestDelegator::chooseCoordinators(const CoordinatorRanking &ranking,
+                                                               GatewayContext &context)
 {
     // A coordinator in the own domain is the nearest one. An instance in a domain without replicas
     // spreads its queries over the domains that have some.
@@ -91,40 +107,103 @@
                                                           const CoordinatorRanking &ranking,
                                                           GatewayContext &context)
 {
-    if (request.request->body.size() > maxDelegatedBody) {
+    std::vector<MemberRecord> candidates = this->chooseCoordinators(ranking, context);
+    if (candidates.empty() || request.request->body.size() > maxDelegatedBody) {
         return request;
     }
-    Query query;
-    query.coordinators = this->choose(ranking, context);
-    if (query.coordinators.empty()) {
-        return request;
+    this->add(std::move(request), std::move(candidates), offerTimeout, context);
+    return std::nullopt;
+}
+
+std::optional<AdmittedRequest> RequestDelegator::requestHelp(AdmittedRequest request,
+                                                             const CoordinatorRanking &ranking,
+                                                             const HelperChoice &helpers,
+                                                             GatewayContext &context)
+{
+    std::vector<MemberRecord> candidates = this->chooseCoordinators(ranking, context);
+    for (MemberRecord &helper :
+         helpers.choose(maxHelpersAsked, this->health, context.now, context.random)) {
+        if (std::ranges::find(candidates, helper.id, &MemberRecord::id) == candidates.end()) {
+            candidates.push_back(std::move(helper));
+        }
     }
-    query.minConfigVersion = std::max(request.config->version, this->newestConfigVersion);
-    query.silentAt = context.now + offerTimeout;
-    query.request = std::move(request);
-    const std::uint64_t number = ++this->lastNumber;
-    for (const MemberRecord &coordinator : query.coordinators) {
-        context.emit(SendInquiry {coordinator.peerAddress, {number, query.minConfigVersion}});
+    request.isDeclined = true;
+    if (candidates.empty() || request.request->body.size() > maxHelpedBody) {
+        return request;
     }
-    this->queries.emplace(number, std::move(query));
+    ++this->delegatorCounts.helpRequested;
+    this->add(std::move(request), std::move(candidates), maxHelpWait, context);
     return std::nullopt;
 }
 
-RequestDelegator::Queries::iterator RequestDelegator::find(std::uint64_t number,
-                                                           const InstanceId &member)
+void RequestDelegator::add(AdmittedRequest request, std::vector<MemberRecord> candidates,
+                           Duration maxOfferWait, GatewayContext &context)
+{
+    PendingRequest pending;
+    pending.minConfigVersion = std::max(request.config->version, this->newestConfigVersion);
+    pending.offersUntil = context.now + maxOfferWait;
+    pending.candidates = std::move(candidates);
+    pending.request = std::move(request);
+    const auto added = this->requests.emplace(++this->lastNumber, std::move(pending)).first;
+    this->askNext(added, context);
+}
+
+void RequestDelegator::askNext(PendingRequests::iterator pending, GatewayContext &context)
+{
+    auto &[number, request] = *pending;
+    const std::size_t count = std::min(request.candidates.size(), maxAsked);
+    const auto end = request.candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    for (auto member = request.candidates.begin(); member != end; ++member) {
+        context.emit(SendInquiry {member->peerAddress, {number, request.minConfigVersion}});
+    }
+    request.asked.insert(request.asked.end(), request.candidates.begin(), end);
+    request.candidates.erase(request.candidates.begin(), end);
+    request.silentAt = context.now + offerTimeout;
+}
+
+RequestDelegator::PendingRequests::iterator RequestDelegator::find(std::uint64_t number,
+                                                                   const InstanceId &member)
 {
-    const auto found = this->queries.find(number);
-    const bool isAsked = found != this->queries.end()
-            && std::ranges::find(found->second.coordinators, member, &MemberRecord::id)
-                    != found->second.coordinators.end();
-    return isAsked ? found : this->queries.end();
+    const auto found = this->requests.find(number);
+    const auto contains = [&](const std::vector<MemberRecord> &members) {
+        return std::ranges::find(members, member, &MemberRecord::id) != members.end();
+    };
+    const bool isAsked = found != this->requests.end()
+            && (contains(found->second.asked) || contains(found->second.silent));
+    return isAsked ? found : this->requests.end();
 }
 
-void RequestDelegator::giveBack(Queries::iterator query)
+void RequestDelegator::giveBack(PendingRequests::iterator pending)
 {
     ++this->delegatorCounts.returned;
-    this->returned.push_back(std::move(query->second.request));
-    this->queries.erase(query);
+    this->returned.push_back(std::move(pending->second.request));
+    this->requests.erase(pending);
+}
+
+void RequestDelegator::onDeclined(PendingRequests::iterator pending, const InstanceId &member,
+                                  DelegationState state, GatewayContext &context)
+{
+    ++this->delegatorCounts.declined;
+    this->health.onDeclined(member, avoidanceAfter(state), context.now);
+    PendingRequest &request = pending->second;
+    const auto isMember = [&](const MemberRecord &other) { return other.id == member; };
+    std::erase_if(request.asked, isMember);
+    std::erase_if(request.silent, isMember);
+    if (request.asked.empty()) {
+        this->continueAsking(pending, context);
+    }
+}
+
+void RequestDelegator::continueAsking(PendingRequests::iterator pending, GatewayContext &context)
+{
+    PendingRequest &request = pending->second;
+    if (!request.candidates.empty()) {
+        this->askNext(pending, context);
+    } else if (!request.silent.empty() && context.now < request.offersUntil) {
+        request.silentAt = request.offersUntil;
+    } else {
+        this->giveBack(pending);
+    }
 }
 
 void RequestDelegator::onOffer(const OfferReceived &event, GatewayContext &context)
@@ -132,58 +211,53 @@
     this->health.onReacted(event.member);
     const CoordinatorOffer &offer = event.offer;
     const auto found = this->find(offer.number, event.member);
-    if (found == this->queries.end() || found->second.sent) {
+    if (found == this->requests.end() || found->second.sent) {
         return;
     }
-    Query &query = found->second;
     if (offer.state != DelegationState::Accepted) {
-        ++this->delegatorCounts.declined;
-        this->health.onDeclined(event.member, avoidanceAfter(offer.state), context.now);
-        std::erase_if(query.coordinators,
-                      [&](const MemberRecord &member) { return member.id == event.member; });
-        if (query.coordinators.empty()) {
-            this->giveBack(found);
-        }
+        this->onDeclined(found, event.member, offer.state, context);
         return;
     }
-    std::erase_if(query.coordinators,
+    PendingRequest &pending = found->second;
+    pending.asked.insert(pending.asked.end(), pending.silent.begin(), pending.silent.end());
+    pending.silent.clear();
+    std::erase_if(pending.asked,
                   [&](const MemberRecord &member) { return member.id != event.member; });
-    query.sent = true;
-    query.silentAt = query.request.objectiveAt + forwarding::objectiveTolerance;
+    pending.sent = true;
+    pending.silentAt = forwarding::firstReceiptBy(pending.request.objectiveAt, context.now);
     ++this->delegatorCounts.delegated;
     DelegatedRequest message;
     message.number = offer.number;
-    message.request = query.request.request;
+    message.request = pending.request.request;
     message.sentAt = offer.sentAt;
-    message.objectiveLeft = query.request.objectiveAt - context.now - returnTime;
-    message.timeLeft = query.request.deadlineAt - context.now - returnTime;
-    message.minConfigVersion = query.minConfigVersion;
-    context.emit(DelegateRequest {query.coordinators.front().peerAddress, std::move(message)});
+    message.objectiveLeft = pending.request.objectiveAt - context.now - returnTime;
+    message.timeLeft = pending.request.deadlineAt - context.now - returnTime;
+    message.minConfigVersion = pending.minConfigVersion;
+    context.emit(DelegateRequest {pending.asked.front().peerAddress, std::move(message)});
 }
 
 void RequestDelegator::onReceipt(const ReceiptReceived &event, GatewayContext &context)
 {
     const DelegationReceipt &receipt = event.receipt;
     const auto found = this->find(receipt.number, event.member);
-    if (found == this->queries.end()) {
+    if (found == this->requests.end()) {
         return;
     }
-    AdmittedRequest &request = found->second.request;
     if (receipt.state != DelegationState::Accepted) {
-        ++this->delegatorCounts.declined;
-        this->health.onDeclined(event.member, avoidanceAfter(receipt.state), context.now);
-        this->giveBack(found);
+        found->second.sent = false;
+        this->onDeclined(found, event.member, receipt.state, context);
         return;
     }
-    found->second.silentAt = std::max(request.objectiveAt + forwarding::objectiveTolerance,
-                                      context.now + forwarding::receiptTimeout);
+    found->second.silentAt =
+            std::max(found->second.request.objectiveAt + forwarding::objectiveTolerance,
+                     context.now + forwarding::receiptTimeout);
 }
 
 void RequestDelegator::onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context)
 {
     const DelegatedAnswer &answer = event.answer;
     const auto found = this->find(answer.number, event.member);
-    if (found == this->queries.end()
+    if (found == this->requests.end()
         || found->second.request.request->requestId != answer.requestId) {
         return;
     }
@@ -192,70 +266,72 @@
     const ExchangeEnd end = endOf(request, answer.reply, context.now);
     context.emit(AnswerExchange {request.id, answer.reply, end});
     logDelegatedEnd(request, end, event.member, this->sampleOneIn, context);
-    this->queries.erase(found);
+    this->requests.erase(found);
 }
 
 bool RequestDelegator::onCallerLeft(ExchangeId id, GatewayContext &context)
 {
     const auto found = std::ranges::find_if(
-            this->queries, [id](const auto &entry) { return entry.second.request.id == id; });
-    if (found == this->queries.end()) {
+            this->requests, [id](const auto &entry) { return entry.second.request.id == id; });
+    if (found == this->requests.end()) {
         return false;
     }
-    const Query &query = found->second;
-    const MemberRecord &coordinator = query.coordinators.front();
-    if (query.sent) {
-        context.emit(CancelDelegation {coordinator.peerAddress, found->first});
+    const PendingRequest &pending = found->second;
+    const InstanceId member = pending.asked.empty() ? InstanceId() : pending.asked.front().id;
+    if (pending.sent) {
+        context.emit(CancelDelegation {pending.asked.front().peerAddress, found->first});
     }
-    const ExchangeEnd end {query.request.route->name, ExchangeOutcome::CallerLeft,
-                           EndReason::CallerLeft, context.now - query.request.arrivedAt};
-    logDelegatedEnd(query.request, end, coordinator.id, this->sampleOneIn, context);
-    this->queries.erase(found);
+    const ExchangeEnd end {pending.request.route->name, ExchangeOutcome::CallerLeft,
+                           EndReason::CallerLeft, context.now - pending.request.arrivedAt};
+    logDelegatedEnd(pending.request, end, member, this->sampleOneIn, context);
+    this->requests.erase(found);
     return true;
 }
 
 void RequestDelegator::onTimer(GatewayContext &context)
 {
-    for (auto next = this->queries.begin(); next != this->queries.end();) {
+    for (auto next = this->requests.begin(); next != this->requests.end();) {
         const auto current = next++;
-        Query &query = current->second;
-        if (context.now < query.silentAt) {
+        PendingRequest &pending = current->second;
+        if (context.now < pending.silentAt) {
             continue;
         }
-        for (const MemberRecord &coordinator : query.coordinators) {
+        for (const MemberRecord &member : pending.asked) {
             ++this->delegatorCounts.silent;
-            this->health.onSilent(coordinator.id, context.now);
+            this->health.onSilent(member.id, context.now);
         }
-        if (query.sent) {
+        if (pending.sent) {
             this->endSilent(current, context);
         } else {
-            this->giveBack(current);
+            pending.silent.insert(pending.silent.end(), pending.asked.begin(), pending.asked.end());
+            pending.asked.clear();
+            this->continueAsking(current, context);
         }
     }
 }
 
-void RequestDelegator::endSilent(Queries::iterator query, GatewayContext &context)
+void RequestDelegator::endSilent(PendingRequests::iterator pending, GatewayContext &context)
 {
-    // The coordinator may have used all attempts that the route allows, so none are left. A caller
-    // that asks again has attempts of its own.
-    const auto &[number, silent] = *query;
-    const MemberRecord &coordinator = silent.coordinators.front();
-    context.emit(CancelDelegation {coordinator.peerAddress, number});
+    // The member may have used all attempts that the route allows, so none are left. A caller that
+    // asks again has attempts of its own.
+    const auto &[number, silent] = *pending;
+    const MemberRecord &member = silent.asked.front();
+    context.emit(CancelDelegation {member.peerAddress, number});
     CallerReply reply;
     reply.status = forwarding::statusBadGateway;
-    reply.detail = "the instance that coordinated the request fell silent; it may have run";
+    reply.detail = "the instance that served the request for this one fell silent; it may have run";
     ExchangeEnd end = endOf(silent.request, reply, context.now);
     end.reason = EndReason::CoordinatorSilent;
     context.emit(AnswerExchange {silent.request.id, std::move(reply), end});
-    logDelegatedEnd(silent.request, end, coordinator.id, this->sampleOneIn, context);
-    this->queries.erase(query);
+    logDelegatedEnd(silent.request, end, member.id, this->sampleOneIn, context);
+    this->requests.erase(pending);
 }
 
 Instant RequestDelegator::nextTimer() const
 {
     Instant next = Instant::max();
-    for (const auto &[number, query] : this->queries) {
-        next = std::min(next, query.silentAt);
+    for (const auto &[number, pending] : this->requests) {
+        next = std::min(next, pending.silentAt);
     }
     return next;
 }
--- a/logic/gateway/request_delegator.h
+++ b/logic/gateway/request_delegator.h
@@ -4,6 +4,7 @@
 #include "logic/gateway/coordinator_health.h"
 #include "logic/gateway/coordinator_ranking.h"
 #include "logic/gateway/gateway_effects.h"
+#include "logic/gateway/helper_choice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,42 +15,54 @@
 
 namespace lagoondeck {
 
-/// Counts of delegated queries since the process started.
+/// Counts of delegated requests since the process started.
 struct DelegatorCounts
 {
-    /// Queries that a coordinator was asked to serve.
+    /// Requests that a member was asked to serve.
     std::uint64_t delegated = 0;
-    /// Inquiries and queries that a coordinator declined.
+    /// Inquiries and requests that a member declined.
     std::uint64_t declined = 0;
-    /// Inquiries and queries to which a coordinator did not react in time.
+    /// Inquiries and requests to which a member did not react in time.
     std::uint64_t silent = 0;
-    /// Queries that this instance served itself because no coordinator did.
+    /// Requests that no member served.
     std::uint64_t returned = 0;
+    /// Requests for which this instance asked for help because it does not reach the targets.
+    std::uint64_t helpRequested = 0;
 };
 
-/// Delegates gathered queries to coordinators and answers the callers with what they send back.
+/// Delegates requests to other members and answers the callers with what they send back.
 ///
-/// In a large fleet each instance sees few queries. It meets a target once in many seconds, so that
-/// its connections time out and it learns of a slow target only when the target no longer is. A few
-/// coordinators that send the queries of many instances keep their connections and know their
-/// targets.
+/// There are two reasons for this:
+/// - In a large fleet each instance sees few gathered queries. It meets a target once in many
+///   seconds, so that its connections time out and it learns of a slow target only when the target
+///   no longer is. A few coordinators that send the queries of many instances keep their
+///   connections and know their targets.
+/// - An instance whose own path to the targets is broken can serve its callers only with the help
+/// of
+///   members whose path works.
 ///
-/// Two coordinators are asked for each query, and the one that reacts first gets it, so that a
-/// coordinator that is gone, cut off or slow costs a few milliseconds and no attempts. This
-/// instance stays responsible for the answer: it serves the query itself if no coordinator reacts,
-/// or if the chosen one falls silent later.
+/// Two members are asked for each request, and the one that reacts first gets it, so that a member
+/// that is gone, cut off or slow costs a few milliseconds and no attempts. This instance stays
+/// responsible for the answer. A request is sent to one member only: once it was sent, it may have
+/// run, unless that member declines it.
 class RequestDelegator
 {
 public:
     /// Of the requests that end as Served, one in `sampleOneIn` is logged; 0 logs none.
-    /// `firstNumber` should be random, so that the coordinators' late answers to an earlier run of
-    /// this process are not mistaken for answers to this one.
+    /// `firstNumber` should be random, so that late answers to an earlier run of this process are
+    /// not mistaken for answers to this one.
     RequestDelegator(FailureDomain domain, std::uint64_t sampleOneIn, std::uint64_t firstNumber);
 
     /// Asks coordinators to serve a gathered request. Returns the request if this instance must
     /// serve it itself.
     std::optional<AdmittedRequest>
     delegate(AdmittedRequest request, const CoordinatorRanking &ranking, GatewayContext &context);
+    /// Asks coordinators, then other members to serve a request that this instance can't send to
+    /// the targets. Returns the request if there is nobody to ask.
+    std::optional<AdmittedRequest> requestHelp(AdmittedRequest request,
+                                               const CoordinatorRanking &ranking,
+                                               const HelperChoice &helpers,
+                                               GatewayContext &context);
     void onOffer(const OfferReceived &event, GatewayContext &context);
     void onReceipt(const ReceiptReceived &event, GatewayContext &context);
     void onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context);
@@ -58,44 +71,60 @@
     void onTimer(GatewayContext &context);
     /// Returns when onTimer() must be called next.
     Instant nextTimer() const;
-    /// Returns the requests that this instance must serve itself. Nothing was sent for them.
+    /// Returns the requests that no member took. Nothing was sent for them.
     std::vector<AdmittedRequest> takeReturned() { return std::exchange(this->returned, {}); }
 
-    std::size_t size() const { return this->queries.size(); }
+    std::size_t size() const { return this->requests.size(); }
     const DelegatorCounts &counts() const { return this->delegatorCounts; }
 
 private:
-    struct Query
+    struct PendingRequest
     {
         AdmittedRequest request;
         std::uint64_t minConfigVersion = 0;
-        /// The coordinators that were asked and have not replied. Contains only the chosen one
-        /// after the query was sent.
-        std::vector<MemberRecord> coordinators;
-        /// Whether the query was sent to the coordinator.
+        /// The members that can be asked next.
+        std::vector<MemberRecord> candidates;
+        /// The members that were asked and have not replied. Contains only the chosen one after the
+        /// request was sent.
+        std::vector<MemberRecord> asked;
+        /// The members that did not reply in time, but may still do so.
+        std::vector<MemberRecord> silent;
+        /// Whether the request was sent to a member.
         bool sent = false;
-        /// When the coordinators count as silent.
+        /// When the members that were asked last count as silent.
         Instant silentAt {};
+        /// Until when offers are awaited.
+        Instant offersUntil {};
     };
-    using Queries = std::map<std::uint64_t, Query>;
+    using PendingRequests = std::map<std::uint64_t, PendingRequest>;
 
     /// Returns the coordinators that should be asked.
-    std::vector<MemberRecord> choose(const CoordinatorRanking &ranking, GatewayContext &context);
-    /// Returns the query if the member was asked to serve it or does so.
-    Queries::iterator find(std::uint64_t number, const InstanceId &member);
-    /// Lets this instance serve the query.
-    void giveBack(Queries::iterator query);
-    /// Ends a query whose coordinator does not react any more.
-    void endSilent(Queries::iterator query, GatewayContext &context);
+    std::vector<MemberRecord> chooseCoordinators(const CoordinatorRanking &ranking,
+                                                 GatewayContext &context);
+    /// Adds a request and asks its first candidates.
+    void add(AdmittedRequest request, std::vector<MemberRecord> candidates, Duration maxOfferWait,
+             GatewayContext &context);
+    /// Asks the next candidates.
+    void askNext(PendingRequests::iterator pending, GatewayContext &context);
+    void onDeclined(PendingRequests::iterator pending, const InstanceId &member,
+                    DelegationState state, GatewayContext &context);
+    /// Asks the next candidates, waits for late offers, or gives the request back.
+    void continueAsking(PendingRequests::iterator pending, GatewayContext &context);
+    /// Returns the request if the member was asked to serve it or does so.
+    PendingRequests::iterator find(std::uint64_t number, const InstanceId &member);
+    /// Lets the caller of takeReturned() serve the request.
+    void giveBack(PendingRequests::iterator pending);
+    /// Ends a request whose member does not react any more.
+    void endSilent(PendingRequests::iterator pending, GatewayContext &context);
 
     FailureDomain domain;
     std::uint64_t sampleOneIn;
     CoordinatorHealth health;
-    /// The queries without an answer by their number.
-    Queries queries;
+    /// The requests without an answer by their number.
+    PendingRequests requests;
     std::uint64_t lastNumber;
-    /// The newest configuration version that a coordinator used. Later queries must not use an
-    /// older one.
+    /// The newest configuration version that a member used. Later requests must not use an older
+    /// one.
     std::uint64_t newestConfigVersion = 0;
     std::vector<AdmittedRequest> returned;
     DelegatorCounts delegatorCounts;
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -140,14 +140,28 @@
         target.pausedUntil = std::max(target.pausedUntil, context.now + reply.requestedPause);
         this->lastPauseEnd = std::max(this->lastPauseEnd, target.pausedUntil);
     }
-    if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable
-        && !std::exchange(target.hasAnnouncedLeaving, true)) {
-        this->announcements.addLeaving(target.record, context.now);
-        this->setUsable(target, false);
-        context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
+    if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable) {
+        this->markLeaving(target, context);
     }
 }
 
+void TargetRegistry::onLeavingReported(const TargetId &target, GatewayContext &context)
+{
+    if (const auto found = this->targets.find(target); found != this->targets.end()) {
+        this->markLeaving(*found->second, context);
+    }
+}
+
+void TargetRegistry::markLeaving(TargetNode &target, GatewayContext &context)
+{
+    if (std::exchange(target.hasAnnouncedLeaving, true)) {
+        return;
+    }
+    this->announcements.addLeaving(target.record, context.now);
+    this->setUsable(target, false);
+    context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
+}
+
 void TargetRegistry::detach(TargetNode &target)
 {
     auto &replicas = this->group(target.record.group).targets;
@@ -180,6 +194,24 @@
     return count;
 }
 
+std::vector<const TargetNode *> TargetRegistry::pickUsable(std::size_t count,
+                                                           RandomEngine &random) const
+{
+    std::vector<const TargetNode *> usable;
+    for (const auto &[id, target] : this->targets) {
+        if (target->usable) {
+            usable.push_back(target.get());
+        }
+    }
+    std::ranges::shuffle(usable, random);
+    std::set<FailureDomain> domains;
+    std::stable_partition(usable.begin(), usable.end(), [&](const TargetNode *target) {
+        return domains.insert(target->record.failureDomain).second;
+    });
+    usable.resize(std::min(usable.size(), count));
+    return usable;
+}
+
 void TargetRegistry::removeIdleRetired()
 {
     std::erase_if(this->retired, [](const auto &node) { return node->inFlight == 0; });
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -117,6 +117,9 @@
     void onSent(TargetNode &target, TraceKind cause, Instant now);
     /// Applies what a target says of itself in a reply.
     void onReply(TargetNode &target, const ForwardedReply &reply, GatewayContext &context);
+    /// Called when a target told a member that it is leaving, in a reply to a request that the
+    /// member served for this instance.
+    void onLeavingReported(const TargetId &target, GatewayContext &context);
     void onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
                  const LatencyModel &model, Instant now);
 
@@ -130,6 +133,8 @@
     std::size_t size() const { return this->targets.size(); }
     /// Returns how many targets are in use, but no more than the given number.
     std::size_t countUsable(std::size_t limit) const;
+    /// Returns random targets that are in use, in different failure domains as far as possible.
+    std::vector<const TargetNode *> pickUsable(std::size_t count, RandomEngine &random) const;
     const std::unordered_map<TargetId, std::unique_ptr<TargetNode>> &all() const
     {
         return this->targets;
@@ -160,6 +165,7 @@
     /// Returns the candidate with the lowest cost, or none. Compares only two of many candidates.
     CostedTarget cheapest(std::vector<TargetNode *> candidates, const LatencyModel &model,
                           Instant now, RandomEngine &random) const;
+    void markLeaving(TargetNode &target, GatewayContext &context);
     void detach(TargetNode &target);
     void setUsable(TargetNode &target, bool usable);
     void removeIdleRetired();
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -106,6 +106,9 @@
         return "no target was available; the instance had last heard from the store " + age
                 + " ms earlier";
     }
+    if (reason == "no-path") {
+        return "the instance reached no target, and no other instance took the request";
+    }
     if (reason == "targets-limited") {
         return "the targets limit their requests, and nothing was left for it: "
                 + describeMissingParts(line);
--- a/tests/drivers_edge/test_delegation_messages.cpp
+++ b/tests/drivers_edge/test_delegation_messages.cpp
@@ -33,7 +33,7 @@
     CHECK(inquiry.inquiry.minConfigVersion == 9);
     for (const DelegationState state :
          {DelegationState::Accepted, DelegationState::Busy, DelegationState::Leaving,
-          DelegationState::Outdated, DelegationState::Expired}) {
+          DelegationState::Outdated, DelegationState::Expired, DelegationState::Unreachable}) {
         const auto offer =
                 decode<OfferReceived>(writeOffer({5, state, Instant(77s)}, sender, address));
         CHECK(offer.offer.number == 5);
@@ -99,6 +99,8 @@
     CHECK(readAnswer.answer.reply.retryAfter == Duration(20ms));
     CHECK(readAnswer.answer.reply.detail == "text");
     CHECK(readAnswer.answer.configVersion == 6);
+    CHECK(readAnswer.answer.reply.forwarded == nullptr);
+    CHECK(readAnswer.answer.leavingTargets.empty());
 
     const auto cancelled =
             decode<DelegationCancelled>(writeCancellation({"unused", 8}, sender, address));
@@ -106,6 +108,30 @@
     CHECK(cancelled.member == InstanceId(sender));
 }
 
+TEST_CASE("a target's reply is decoded to the one that was encoded")
+{
+    ForwardedReply forwarded;
+    forwarded.status = 207;
+    forwarded.reason = "Multi-Status";
+    forwarded.fields = {{"Server-Stamp", "s"}, {"X", std::string("\x01\xfe", 2)}, {"X", "2"}};
+    forwarded.body = std::string("\0\xff", 2);
+    DelegatedAnswer answer;
+    answer.number = 8;
+    answer.requestId = "r";
+    answer.reply.status = 207;
+    answer.reply.forwarded = std::make_shared<const ForwardedReply>(forwarded);
+    answer.leavingTargets = {TargetId("t"), TargetId("u")};
+    const auto read =
+            decode<DelegatedAnswerReceived>(writeDelegatedAnswer(answer, sender, address));
+    REQUIRE(read.answer.reply.forwarded != nullptr);
+    CHECK(read.answer.reply.status == 207);
+    CHECK(read.answer.reply.forwarded->status == 207);
+    CHECK(read.answer.reply.forwarded->reason == "Multi-Status");
+    CHECK(read.answer.reply.forwarded->fields == forwarded.fields);
+    CHECK(read.answer.reply.forwarded->body == forwarded.body);
+    CHECK(read.answer.leavingTargets == answer.leavingTargets);
+}
+
 TEST_CASE("times of any size in a message can be added without an overflow")
 {
     rc::check([](std::int64_t sentAt, std::int64_t left) {
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -64,6 +64,13 @@
         return request;
     }
 
+    void pollUntilEvent()
+    {
+        for (int i = 0; i < 500 && this->events.empty(); ++i) {
+            this->loop.poll(1ms);
+        }
+    }
+
     Poco::Net::ServerSocket listener;
     EdgeLoop loop;
     std::vector<GatewayEvent> events;
@@ -102,6 +109,61 @@
     CHECK(timeLimitOf(fixture.receiveRequest(connection)) == 1);
 }
 
+TEST_CASE("a probe tells whether a connection could be made, and later requests use the connection")
+{
+    LinksFixture fixture;
+    fixture.links.probe({7, TargetId("t"), fixture.listener.address().toString()}, monotonicNow());
+    fixture.pollUntilEvent();
+    REQUIRE(fixture.events.size() == 1);
+    const auto &probed = std::get<PathProbed>(fixture.events.front());
+    CHECK(probed.number == 7);
+    CHECK(probed.connected);
+    fixture.startAttempt(1, monotonicNow() + 500ms);
+    Poco::Net::StreamSocket connection;
+    fixture.receiveRequest(connection);
+    CHECK(fixture.links.connectionsOpened() == 1);
+}
+
+TEST_CASE("a probe of an address that refuses connections fails")
+{
+    LinksFixture fixture;
+    const std::string address = fixture.listener.address().toString();
+    fixture.listener.close();
+    fixture.links.probe({7, TargetId("t"), address}, monotonicNow());
+    fixture.pollUntilEvent();
+    REQUIRE(fixture.events.size() == 1);
+    CHECK_FALSE(std::get<PathProbed>(fixture.events.front()).connected);
+}
+
+TEST_CASE("a probe that hangs ends by the time limit of connecting")
+{
+    LinksFixture fixture;
+    const Instant now = monotonicNow();
+    fixture.links.probe({7, TargetId("t"), fixture.listener.address().toString()}, now);
+    fixture.links.checkTimeouts(now + 1ms);
+    CHECK(fixture.events.empty());
+    fixture.links.checkTimeouts(now + 10s);
+    REQUIRE(fixture.events.size() == 1);
+    CHECK_FALSE(std::get<PathProbed>(fixture.events.front()).connected);
+}
+
+TEST_CASE("only attempts whose request has not been sent are withdrawn")
+{
+    LinksFixture fixture;
+    fixture.startAttempt(1, monotonicNow() + 800ms);
+    Poco::Net::StreamSocket connection;
+    fixture.receiveRequest(connection);
+    fixture.startAttempt(2, monotonicNow() + 800ms);
+    fixture.links.withdrawUnsent();
+    REQUIRE(fixture.events.size() == 1);
+    const auto &ended = std::get<AttemptEnded>(fixture.events.front());
+    CHECK(ended.attempt == AttemptId(2));
+    CHECK(ended.kind == AttemptEndKind::Unreachable);
+    // Its connection carries no request later either.
+    fixture.loop.poll(20ms);
+    CHECK(fixture.writeDelays.size() == 1);
+}
+
 namespace {
 
 /// A target that sends bytes without end on each connection until the other side closes it.
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -46,6 +46,14 @@
                 this->startedAt.push_back(this->now);
             } else if (auto *close = std::get_if<CloseAttempt>(&effect)) {
                 this->closed.push_back(close->attempt);
+            } else if (auto *probe = std::get_if<ProbePath>(&effect)) {
+                this->probes.push_back(*probe);
+            } else if (auto *inquiry = std::get_if<SendInquiry>(&effect)) {
+                this->inquiries.push_back(*inquiry);
+            } else if (auto *delegated = std::get_if<DelegateRequest>(&effect)) {
+                this->delegated.push_back(*delegated);
+            } else if (auto *receipt = std::get_if<SendReceipt>(&effect)) {
+                this->receipts.push_back(*receipt);
             } else if (auto *answer = std::get_if<AnswerExchange>(&effect)) {
                 this->answers[answer->exchange].push_back(answer->reply);
             } else if (auto *log = std::get_if<WriteLog>(&effect)) {
@@ -205,6 +213,11 @@
     std::vector<Instant> startedAt;
     /// The attempts that were closed.
     std::vector<AttemptId> closed;
+    std::vector<ProbePath> probes;
+    // Messages to other members.
+    std::vector<SendInquiry> inquiries;
+    std::vector<DelegateRequest> delegated;
+    std::vector<SendReceipt> receipts;
     std::map<ExchangeId, std::vector<CallerReply>> answers;
     /// Unanswered calls of the store.
     std::vector<CallStore> calls;
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -36,7 +36,7 @@
     urgentRoute.name = urgentRoute.prefix = urgent;
     urgentRoute.priority = route.priority;
     route.priority = urgentRoute.priority + 1;
-    Route single = plainRoute(plain, "plain", true);
+    Route single = plainRoute(plain, "plain", plan.isPlainIdempotent);
     single.objective = plan.objective;
     single.timeout = plan.objective * 10;
     this->storeState.push_back(
@@ -110,6 +110,7 @@
     settings.firstStart = false;
     ++this->nodes[instance].run;
     this->nodes[instance].running.clear();
+    this->nodes[instance].unsent.clear();
     settings.seed += 1'000'000 * this->nodes[instance].run;
     this->nodes[instance].gateway = std::make_unique<Gateway>(settings);
     for (auto &[id, target] : this->targets) {
@@ -282,11 +283,22 @@
                    [this, instance, attempt, kind, run = this->nodes[instance].run] {
                        Node &node = this->nodes[instance];
                        if (node.run == run && node.running.erase(attempt) > 0) {
+                           node.unsent.erase(attempt);
                            this->apply(instance, AttemptEnded {attempt, kind});
                        }
                    });
 }
 
+void GatewayFleet::probe(std::size_t instance, const ProbePath &effect)
+{
+    const Node &node = this->nodes[instance];
+    const Duration roundTrip = 2
+            * this->delayBetween(node.domain, this->targets.at(effect.target).record.failureDomain);
+    const bool hangs = node.pathCut == PathCut::Silent;
+    this->applyAt(this->now + (hangs ? this->plan.connectTimeout : roundTrip), instance,
+                  PathProbed {effect.number, node.pathCut == PathCut::None});
+}
+
 void GatewayFleet::startAttempt(std::size_t instance, const StartAttempt &effect)
 {
     Node &node = this->nodes[instance];
@@ -296,6 +308,7 @@
     const bool isConnected = this->now - connection.usedAt <= this->plan.idleTime
             && this->now - connection.openedAt <= this->plan.connectionAge;
     if (!isConnected && node.pathCut != PathCut::None) {
+        node.unsent.insert(effect.attempt);
         this->endAttempt(
                 instance, effect.attempt, AttemptEndKind::Unreachable,
                 node.pathCut == PathCut::Silent
@@ -377,7 +390,13 @@
     if (const auto *start = std::get_if<StartAttempt>(&effect)) {
         this->startAttempt(instance, *start);
     } else if (const auto *close = std::get_if<CloseAttempt>(&effect)) {
-        this->nodes[instance].running.erase(close->attempt);
+        this->endAttempt(instance, close->attempt, AttemptEndKind::Closed, {});
+    } else if (std::holds_alternative<WithdrawUnsentAttempts>(effect)) {
+        for (const AttemptId attempt : std::set(this->nodes[instance].unsent)) {
+            this->endAttempt(instance, attempt, AttemptEndKind::Unreachable, {});
+        }
+    } else if (const auto *probe = std::get_if<ProbePath>(&effect)) {
+        this->probe(instance, *probe);
     } else if (const auto *answer = std::get_if<AnswerExchange>(&effect)) {
         const std::uint64_t number = answer->exchange.value;
         this->answers[number] = {answer->reply.status, answer->reply.partsMissing,
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -27,6 +27,7 @@
     std::size_t shards = 42;
     /// The targets of a group that serves the plain route, one request at one target.
     std::size_t plainTargets = 0;
+    bool isPlainIdempotent = true;
     /// The processor share of one in ten instances of a domain, and of the others.
     double largeShare = 0.5;
     double smallShare = 0.12;
@@ -161,6 +162,8 @@
         std::uint32_t pathBreaks = 0;
         /// The attempts that are running.
         std::set<AttemptId> running;
+        /// Those of them whose connection is not made yet.
+        std::set<AttemptId> unsent;
     };
     struct Target
     {
@@ -192,6 +195,7 @@
     void applyAt(Instant at, std::size_t instance, const GatewayEvent &event);
     void execute(std::size_t instance, const GatewayEffect &effect);
     void startAttempt(std::size_t instance, const StartAttempt &effect);
+    void probe(std::size_t instance, const ProbePath &effect);
     /// Lets an attempt end without a reply.
     void endAttempt(std::size_t instance, AttemptId attempt, AttemptEndKind kind, Duration after);
     void recordArrival(std::size_t instance, const TargetId &target);
--- a/tests/logic/gateway/test_delegation.cpp
+++ b/tests/logic/gateway/test_delegation.cpp
@@ -38,15 +38,15 @@
     std::optional<AdmittedRequest> take(const DelegatedRequest &query, bool stopping = false)
     {
         GatewayContext context {this->now, this->effects, this->random, this->ids};
-        return this->intake.take({InstanceId("b"), "10.0.0.2:1", query}, &this->routes, stopping,
-                                 context);
+        return this->intake.take({InstanceId("b"), "10.0.0.2:1", query},
+                                 {&this->routes, stopping, this->reachesTargets}, context);
     }
 
     DelegationState offer(std::uint64_t minConfigVersion, const RouteTable *table)
     {
         GatewayContext context {this->now, this->effects, this->random, this->ids};
-        this->intake.reply({InstanceId("b"), "10.0.0.2:1", {1, minConfigVersion}}, table, false,
-                           context);
+        this->intake.reply({InstanceId("b"), "10.0.0.2:1", {1, minConfigVersion}},
+                           {table, false, this->reachesTargets}, context);
         return std::get<SendOffer>(this->effects.back()).offer.state;
     }
 
@@ -63,6 +63,7 @@
     RouteTable routes {std::make_shared<const RoutingConfig>(configOf(
             {gatherRoute("/g/", shards, 0.5), plainRoute("/p/", "g", true)}, configVersion))};
     DelegationIntake intake {400};
+    bool reachesTargets = true;
     std::uint64_t lastNumber = 0;
 };
 
@@ -103,18 +104,46 @@
     CHECK(fixture.offer(configVersion, &fixture.routes) == DelegationState::Accepted);
 }
 
-TEST_CASE("a query of a route that does not gather is not taken")
+TEST_CASE("a request without a route is not taken")
 {
     IntakeFixture fixture;
     ForwardedRequest request;
     request.host = "h";
-    request.path = GENERATE("/p/x", "/none/x");
+    request.path = "/none/x";
     DelegatedRequest query = fixture.query();
     query.request = std::make_shared<const ForwardedRequest>(request);
     CHECK_FALSE(fixture.take(query));
     CHECK(fixture.declinedState() == DelegationState::Outdated);
 }
 
+TEST_CASE("a request of a route that does not gather is taken as one part")
+{
+    IntakeFixture fixture;
+    ForwardedRequest request;
+    request.host = "h";
+    request.path = "/p/x";
+    std::size_t taken = 0;
+    for (int i = 0; i < 10000; ++i) {
+        fixture.now += std::chrono::milliseconds(1);
+        DelegatedRequest query = fixture.query();
+        query.request = std::make_shared<const ForwardedRequest>(request);
+        const auto admitted = fixture.take(query);
+        CHECK((!admitted || !admitted->route->gathers()));
+        taken += admitted ? 1 : 0;
+    }
+    CHECK(taken <= 400 * 11);
+    CHECK(taken >= 400 * 9);
+}
+
+TEST_CASE("an instance that does not reach the targets takes no request")
+{
+    IntakeFixture fixture;
+    fixture.reachesTargets = false;
+    CHECK_FALSE(fixture.take(fixture.query()));
+    CHECK(fixture.declinedState() == DelegationState::Unreachable);
+    CHECK(fixture.offer(configVersion, &fixture.routes) == DelegationState::Unreachable);
+}
+
 TEST_CASE("a coordinator takes no more queries than its capacity allows")
 {
     IntakeFixture fixture;
