Give up an attempt to connect that hangs as soon as connecting usually takes

What callers saw: requests that began just before or in the first second after an instance was cut off silently ended at their deadline. Cause: an attempt to connect hung for 0.8 s, also a probe, so the path was known to be down 0.9 s after the cut; the deadlines are 0.3 to 2 s. Class: a time limit that was set for the slowest network. A packet that is lost is sent again after a second only, so that waiting for 0.8 s gains nothing over the usual time to connect.

Change: ConnectTime derives the limit from the connections that were made, between 100 and 800 ms, like TCP's retransmission time. Nothing is sent on a connection that is not made, so giving it up costs no attempt.

Evidence: the new driver test gets no end of the attempt within 300 ms without the change.

--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -9,15 +9,14 @@
 constexpr std::size_t maxHeaderBytes = 64 * 1024;
 /// Longer replies are rejected, so that a faulty server can't exhaust the memory.
 constexpr std::size_t maxBodyBytes = 32 * 1024 * 1024;
-constexpr Duration connectTimeout = std::chrono::milliseconds(800);
 
 } // namespace
 
 ClientLink::ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id,
-                       const Hooks &hooks, ByteBudget &replyBytes, Instant now)
+                       const Hooks &hooks, ByteBudget &replyBytes, Instant connectDeadline)
     : stream(loop, address), linkId(id), hooks(hooks),
       reader(HttpReader::Kind::Reply, maxHeaderBytes, maxBodyBytes), replyBytes(replyBytes),
-      connectDeadline(now + connectTimeout)
+      connectDeadline(connectDeadline)
 { }
 
 void ClientLink::start()
--- a/drivers/edge/client_link.h
+++ b/drivers/edge/client_link.h
@@ -39,7 +39,7 @@
 
     /// `replyBytes` limits what the links that share it buffer of their replies.
     ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id, const Hooks &hooks,
-               ByteBudget &replyBytes, Instant now);
+               ByteBudget &replyBytes, Instant connectDeadline);
 
     std::uint64_t id() const { return this->linkId; }
     /// Returns the encoded request.
--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -44,7 +44,7 @@
         const std::uint64_t id = ++this->lastId;
         chosen = &this->links[id];
         chosen->link = std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks,
-                                                    this->replyBytes, now);
+                                                    this->replyBytes, now + effect.timeout);
     }
     chosen->operation = effect.operation;
     chosen->calledAt = now;
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -77,8 +77,9 @@
     const std::uint64_t id = ++this->lastId;
     Entry &entry = this->links[id];
     entry.link = std::make_unique<ClientLink>(this->loop, address, id, this->hooks,
-                                              this->replyBytes, now);
+                                              this->replyBytes, now + this->connectTime.limit());
     entry.key = key;
+    entry.openedAt = now;
     ++this->openedCount;
     return *entry.link;
 }
@@ -99,7 +100,9 @@
 
 void TargetLinks::onConnected(ClientLink &link)
 {
-    if (const std::uint64_t probe = std::exchange(this->links.at(link.id()).probe, 0); probe != 0) {
+    Entry &entry = this->links.at(link.id());
+    this->connectTime.onConnected(monotonicNow() - entry.openedAt);
+    if (const std::uint64_t probe = std::exchange(entry.probe, 0); probe != 0) {
         this->keepIdle(link, defaultIdleTime);
         this->sink(PathProbed {probe, true});
     }
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "drivers/edge/client_link.h"
+#include "logic/gateway/connect_time.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
 
@@ -49,6 +50,7 @@
         std::string key;
         AttemptId attempt;
         std::shared_ptr<const ForwardedRequest> request;
+        Instant openedAt {};
         /// Whether no reply has been read on the connection.
         bool isNew = true;
         /// The probe for which the connection is made; 0 if there is none.
@@ -67,6 +69,7 @@
     WriteObserver onWritten;
     ClientLink::Hooks hooks;
     ByteBudget replyBytes;
+    ConnectTime connectTime;
     std::unordered_map<std::uint64_t, Entry> links;
     /// The idle links by key, the most recently used one last.
     std::unordered_map<std::string, std::vector<std::uint64_t>> idle;
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -147,6 +147,25 @@
     CHECK_FALSE(std::get<PathProbed>(fixture.events.front()).connected);
 }
 
+// Guards against requests that wait most of their time for connections that hang.
+TEST_CASE("an attempt to connect that hangs ends soon where connections are made quickly")
+{
+    LinksFixture fixture;
+    const std::string address = fixture.listener.address().toString();
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        fixture.links.probe({i, TargetId("t"), address}, monotonicNow());
+        fixture.pollUntilEvent();
+        REQUIRE(std::get<PathProbed>(fixture.events.front()).connected);
+        fixture.events.clear();
+    }
+    fixture.links.dropIdle();
+    const Instant now = monotonicNow();
+    fixture.startAttempt(1, now + 2s);
+    fixture.links.checkTimeouts(now + 300ms);
+    REQUIRE(fixture.events.size() == 1);
+    CHECK(std::get<AttemptEnded>(fixture.events.front()).kind == AttemptEndKind::Unreachable);
+}
+
 TEST_CASE("only attempts whose request has not been sent are withdrawn")
 {
     LinksFixture fixture;
