Forget what a broken path taught about the targets when it works again

Cause: the failures of the break counted as failures of the targets, which were avoided for up to 2 s and cost more for longer.

Change: TargetRegistry::forgetHealth() when the path returns, and when the open connections turn out to be dead.

--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -116,8 +116,10 @@
             this->forwarder.onPathBroken(context);
             break;
         case PathChange::Returned:
+            this->targets.forgetHealth();
             break;
         case PathChange::ConnectionsDied:
+            this->targets.forgetHealth();
             context.emit(DropIdleConnections {});
             this->forwarder.closeSilentAttempts(context);
             break;
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -184,6 +184,16 @@
     this->targets.erase(found);
 }
 
+void TargetRegistry::forgetHealth()
+{
+    for (const auto &[id, target] : this->targets) {
+        target->slowness = 1.0;
+        target->failureRate = 0.0;
+        target->consecutiveFailures = 0;
+        target->avoidUntil = {};
+    }
+}
+
 std::size_t TargetRegistry::countUsable(std::size_t limit) const
 {
     std::size_t count = 0;
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -123,6 +123,10 @@
     void onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
                  const LatencyModel &model, Instant now);
 
+    /// Forgets what was learned about the targets' health, because it was the fault of something
+    /// else.
+    void forgetHealth();
+
     /// Returns the group of this name; creates it if necessary.
     TargetGroup &group(const GroupName &name);
     /// Returns the failure domains that hold a usable replica of most of the gathered groups of the
--- a/tests/logic/gateway/test_stranded_instances.cpp
+++ b/tests/logic/gateway/test_stranded_instances.cpp
@@ -387,6 +387,42 @@
     CHECK(stranded.harness.receipts[0].receipt.state == DelegationState::Unreachable);
 }
 
+// Guards against targets that are avoided after a break of the path that was not their fault.
+TEST_CASE("the failures of a broken path are not held against the targets when it works again")
+{
+    StrandedGateway stranded;
+    // The path is broken for so short a time that the targets would still be avoided.
+    for (int i = 0; i < 4; ++i) {
+        const std::size_t from = stranded.harness.started.size();
+        stranded.harness.sendRequest("/p/x" + std::to_string(i));
+        stranded.failAttempts(from);
+        stranded.harness.advance(milliseconds(20));
+    }
+    for (const ProbePath &probe : std::exchange(stranded.harness.probes, {})) {
+        stranded.harness.apply(PathProbed {probe.number, false});
+    }
+    // The attempts that are not connected are withdrawn.
+    stranded.failAttempts(0);
+    while (stranded.harness.probes.empty()) {
+        stranded.harness.advance(milliseconds(10));
+    }
+    stranded.harness.apply(PathProbed {stranded.harness.probes.back().number, true});
+    stranded.harness.advance(milliseconds(300));
+    std::map<TargetId, int> requests;
+    for (int i = 0; i < 40; ++i) {
+        const std::size_t from = stranded.harness.started.size();
+        stranded.harness.sendRequest("/p/y" + std::to_string(i));
+        stranded.harness.advance(milliseconds(40));
+        for (std::size_t at = from; at < stranded.harness.started.size(); ++at) {
+            ++requests[stranded.harness.started[at].target];
+            stranded.harness.reply(stranded.harness.started[at].attempt, ReplyClass::Success);
+        }
+    }
+    for (const char *name : {"t", "u", "v", "w"}) {
+        CHECK(requests[TargetId(name)] >= 3);
+    }
+}
+
 // Guards against requests to a target after a caller was told that the target is leaving.
 TEST_CASE(
         "planned stop: a target that said to a helping member that it is leaving gets no requests")
