Don't take connections that break with an instance's path for crashes of targets

What callers would see: an instance whose connections are reset when it is cut off reports each request that was running as one that crashes targets. Three such reports, of one instance or of several that are cut off together, have a request refused everywhere for 20 s, for example one that many callers send. Cause: a request whose connections all broke counted as a crash at once, whatever else broke. Class: a fault of the own path told to others as a fault of the targets. Nobody may believe a cut instance about targets; limits and leaving targets come from replies, so this was the only such report.

Change: a crash is told to members only when the path has worked since: by a reply 50 ms later or, after 300 ms, by a probe. When the path turns out to be down, the crashes are taken back. The test of the reports to members lets another target answer first, as it does in use; the others are unchanged. Evidence: the new test fails without the change (3 reports, then the request is refused).

--- a/logic/gateway/crash_tracker.cpp
+++ b/logic/gateway/crash_tracker.cpp
@@ -41,6 +41,18 @@
     return !wasQuarantined && suspect.crashes >= quarantineThreshold;
 }
 
+void CrashTracker::retract(Fingerprint fingerprint, std::uint32_t crashes)
+{
+    const auto found = this->suspects.find(fingerprint);
+    if (found == this->suspects.end()) {
+        return;
+    }
+    found->second.crashes -= std::min(found->second.crashes, crashes);
+    if (found->second.crashes == 0) {
+        this->suspects.erase(found);
+    }
+}
+
 void CrashTracker::removeExpired(Instant now)
 {
     while (!this->crashHistory.empty()
--- a/logic/gateway/crash_tracker.h
+++ b/logic/gateway/crash_tracker.h
@@ -27,6 +27,8 @@
     /// Adds crashes of targets that ran the request. Returns true if this puts the request into
     /// quarantine.
     bool add(Fingerprint fingerprint, std::uint32_t crashes, Instant now);
+    /// Takes back crashes that turned out to have another cause.
+    void retract(Fingerprint fingerprint, std::uint32_t crashes);
     /// Called when a target answered the request without a crash.
     void clear(Fingerprint fingerprint) { this->suspects.erase(fingerprint); }
     bool empty() const { return this->suspects.empty(); }
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -320,6 +320,9 @@
         case TimerKind::PathBroken:
             this->endStranded(context);
             break;
+        case TimerKind::Crashes:
+            this->confirmCrashes(context);
+            break;
         }
     }
 }
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -85,7 +85,7 @@
     const ForwarderCounts &counts() const { return this->attemptCounts; }
     /// Called when this instance or a member observed a request that may crash targets.
     void onCrash(const CrashObservation &observation, GatewayContext &context);
-    /// Returns the crashes that this instance observed since the last call, to be reported to the
+    /// Returns the crashes that this instance confirmed since the last call, to be reported to the
     /// other members.
     std::vector<CrashObservation> takeNewCrashes() { return std::exchange(this->newCrashes, {}); }
     /// The requests that are quarantined or may crash targets.
@@ -106,7 +106,7 @@
     void refuseWithoutPath(const AdmittedRequest &request, GatewayContext &context);
 
 private:
-    enum class TimerKind { Exchange, Attempt, Silence, PathBroken };
+    enum class TimerKind { Exchange, Attempt, Silence, PathBroken, Crashes };
     struct Timer
     {
         Instant at {};
@@ -184,6 +184,10 @@
     void fail(Exchange &exchange, GatewayContext &context);
     /// Reports the request if it crashed its targets; clears it if a target answered it.
     void updateCrashTracker(const Exchange &exchange, GatewayContext &context);
+    /// Confirms the observed crashes if the path to the targets has worked since.
+    void confirmCrashes(GatewayContext &context);
+    /// Takes back the crashes that are not confirmed: the connections broke with the path.
+    void retractCrashes();
     /// Refuses a quarantined request. Returns false if the request may run.
     bool refuseQuarantined(ExchangeId id, const ForwardedRequest &request, GatewayContext &context);
     ExchangeEnd makeExchangeEnd(const Exchange &exchange, EndReason reason, int status,
@@ -232,6 +236,13 @@
     std::unordered_map<TargetId, std::vector<WaitingPart>> partsAwaitingLimit;
     BudgetLoans budgetLoans;
     CrashTracker trackedCrashes;
+    /// A crash that was observed when connections broke, and when.
+    struct UnconfirmedCrash
+    {
+        CrashObservation observation;
+        Instant at {};
+    };
+    std::vector<UnconfirmedCrash> unconfirmedCrashes;
     std::vector<CrashObservation> newCrashes;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
     std::vector<AdmittedRequest> stranded;
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -87,6 +87,7 @@
 
 void Forwarder::onPathBroken(GatewayContext &context)
 {
+    this->retractCrashes();
     context.emit(WithdrawUnsentAttempts {});
     // First the withdrawn attempts end, which shows what was not sent.
     this->timers.push({context.now, TimerKind::PathBroken});
--- a/logic/gateway/forwarder_quarantine.cpp
+++ b/logic/gateway/forwarder_quarantine.cpp
@@ -13,6 +13,12 @@
 /// The upper limit of the retry delay that is sent to the caller of a quarantined request.
 constexpr Duration maxRetryAfter = std::chrono::seconds(5);
 
+/// A reply counts as a proof that the path to the targets works if it arrives this long after
+/// connections broke.
+constexpr Duration crashSettleTime = std::chrono::milliseconds(50);
+/// Without such a reply, the path is probed.
+constexpr Duration maxProofWait = std::chrono::milliseconds(300);
+
 Fingerprint fingerprintOf(const ForwardedRequest &request)
 {
     return fingerprintOf(EntryName(request.method + " " + request.host + request.path),
@@ -51,12 +57,43 @@
     }
     if (answered && !this->trackedCrashes.empty()) {
         this->trackedCrashes.clear(fingerprintOf(*exchange.request));
-    } else if (!answered && crashes > 0) {
+    } else if (!answered && crashes > 0 && this->path.state() != PathState::Down) {
         const CrashObservation observation {
                 fingerprintOf(*exchange.request), crashes, {}, context.random()};
-        this->newCrashes.push_back(observation);
         this->onCrash(observation, context);
+        if (this->unconfirmedCrashes.empty()) {
+            this->timers.push({context.now + crashSettleTime, TimerKind::Crashes});
+        }
+        this->unconfirmedCrashes.push_back({observation, context.now});
+    }
+}
+
+void Forwarder::confirmCrashes(GatewayContext &context)
+{
+    // A reply that arrives just after the connections broke may have been sent before.
+    const Instant provedAt = this->path.provedAt();
+    std::erase_if(this->unconfirmedCrashes, [&](const UnconfirmedCrash &crash) {
+        const bool confirmed = provedAt != Instant::min() && provedAt >= crash.at + crashSettleTime;
+        if (confirmed) {
+            this->newCrashes.push_back(crash.observation);
+        }
+        return confirmed;
+    });
+    if (this->unconfirmedCrashes.empty()) {
+        return;
+    }
+    if (context.now >= this->unconfirmedCrashes.front().at + maxProofWait) {
+        this->path.check(context);
+    }
+    this->timers.push({context.now + crashSettleTime, TimerKind::Crashes});
+}
+
+void Forwarder::retractCrashes()
+{
+    for (const UnconfirmedCrash &crash : this->unconfirmedCrashes) {
+        this->trackedCrashes.retract(crash.observation.fingerprint, crash.observation.crashes);
     }
+    this->unconfirmedCrashes.clear();
 }
 
 void Forwarder::onCrash(const CrashObservation &observation, GatewayContext &context)
--- a/logic/gateway/target_path.cpp
+++ b/logic/gateway/target_path.cpp
@@ -76,10 +76,24 @@
     if (isTrusted || !this->evidence.suggestsBrokenPath(usable, context.now)) {
         return;
     }
-    this->cause = this->evidence.unresponsiveTargets(context.now)
-                    >= this->evidence.unconnectableTargets(context.now)
-            ? Cause::Silence
-            : Cause::NoConnects;
+    this->becomeSuspect(this->evidence.unresponsiveTargets(context.now)
+                                        >= this->evidence.unconnectableTargets(context.now)
+                                ? Cause::Silence
+                                : Cause::NoConnects,
+                        context);
+}
+
+void TargetPath::check(GatewayContext &context)
+{
+    if (this->pathState == PathState::Up
+        && this->targets.countUsable(PathEvidence::maxRequiredTargets) > 0) {
+        this->becomeSuspect(Cause::NoConnects, context);
+    }
+}
+
+void TargetPath::becomeSuspect(Cause suspectedCause, GatewayContext &context)
+{
+    this->cause = suspectedCause;
     this->pathState = PathState::Suspect;
     this->brokenSince = context.now;
     this->timerAt = Instant::max();
@@ -103,6 +117,7 @@
         return;
     }
     if (event.connected) {
+        this->lastProbeSuccessAt = context.now;
         this->evidence.onConnected();
         this->onWorking(true, context);
     } else if (this->pathState == PathState::Suspect && this->openProbes.empty()) {
--- a/logic/gateway/target_path.h
+++ b/logic/gateway/target_path.h
@@ -5,6 +5,7 @@
 #include "logic/gateway/gateway_events.h"
 #include "logic/gateway/path_evidence.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -53,6 +54,8 @@
     void onSilence(std::span<const TargetId> silent, GatewayContext &context);
 
     void onProbed(const PathProbed &event, GatewayContext &context);
+    /// Probes the path even if nothing suggests that it is broken.
+    void check(GatewayContext &context);
     void onTimer(GatewayContext &context);
     /// Returns when onTimer() must be called next.
     Instant nextTimer() const { return this->timerAt; }
@@ -64,6 +67,8 @@
     bool isSilent(Instant now) const;
     /// Returns when the last target replied; Instant::min() if none has.
     Instant lastReplyAt() const { return this->evidence.lastReplyAt(); }
+    /// Returns when the path was last seen to work, by a reply or a probe; Instant::min() if never.
+    Instant provedAt() const { return std::max(this->lastReplyAt(), this->lastProbeSuccessAt); }
     /// Returns the oldest change that has not been returned yet.
     std::optional<PathChange> takeChange();
 
@@ -75,6 +80,7 @@
     };
 
     void suspectIfBroken(GatewayContext &context);
+    void becomeSuspect(Cause suspectedCause, GatewayContext &context);
     void sendProbes(std::size_t count, GatewayContext &context);
     void becomeUp(GatewayContext &context);
     void becomeDown(GatewayContext &context);
@@ -91,6 +97,7 @@
     /// The probes that have not ended.
     std::set<std::uint64_t> openProbes;
     std::uint64_t lastProbe = 0;
+    Instant lastProbeSuccessAt = Instant::min();
     /// When the path was suspected first, before it was down.
     Instant brokenSince {};
     /// The share of the requests grows from recoveringSince to recoveredAt.
--- a/tests/logic/gateway/test_crash_tracker.cpp
+++ b/tests/logic/gateway/test_crash_tracker.cpp
@@ -75,6 +75,50 @@
     CHECK(crashAndCountAttempts(harness, "/all/bad") == 0);
 }
 
+TEST_CASE("crashes are reported without other requests too, once a probe shows that the path works")
+{
+    GatewayHarness harness = twoMemberHarness();
+    crashTargets(harness, "/p/bad");
+    harness.advance(milliseconds(400));
+    CHECK(harness.crashReports.empty());
+    REQUIRE_FALSE(harness.probes.empty());
+    harness.apply(PathProbed {harness.probes.front().number, true});
+    harness.advance(milliseconds(100));
+    CHECK(harness.crashReports.size() == 1);
+}
+
+// Guards against an instance that lost its path to the targets and has a harmless request refused
+// everywhere.
+TEST_CASE("partition: connections that broke with the path are not taken for crashes")
+{
+    GatewayHarness harness = twoMemberHarness();
+    for (int i = 0; i < 3; ++i) {
+        harness.sendRequest("/p/popular");
+    }
+    const std::size_t running = harness.started.size();
+    for (std::size_t at = 0; at < running; ++at) {
+        harness.apply(AttemptEnded {harness.started[at].attempt, AttemptEndKind::Lost});
+    }
+    for (std::size_t at = running; at < harness.started.size(); ++at) {
+        harness.apply(AttemptEnded {harness.started[at].attempt, AttemptEndKind::Unreachable});
+    }
+    harness.advance(milliseconds(500));
+    for (const ProbePath &probe : std::exchange(harness.probes, {})) {
+        harness.apply(PathProbed {probe.number, false});
+    }
+    harness.advance(milliseconds(10));
+    CHECK(harness.crashReports.empty());
+    // The path works again, and the request is not refused.
+    harness.advance(milliseconds(500));
+    REQUIRE_FALSE(harness.probes.empty());
+    harness.apply(PathProbed {harness.probes.back().number, true});
+    harness.advance(std::chrono::seconds(5));
+    CHECK(harness.crashReports.empty());
+    const std::size_t before = harness.started.size();
+    harness.sendRequest("/p/popular");
+    CHECK(harness.started.size() == before + 1);
+}
+
 TEST_CASE("a request is cleared once a target answers it")
 {
     GatewayHarness harness = twoMemberHarness();
@@ -90,6 +134,11 @@
     GatewayHarness first = twoMemberHarness();
     crashTargets(first, "/p/bad");
     crashTargets(first, "/p/bad");
+    // Other targets answer, so the path to them works.
+    first.advance(milliseconds(60));
+    first.sendRequest("/all/good");
+    first.reply(first.started.back().attempt, ReplyClass::Success);
+    first.advance(milliseconds(60));
     REQUIRE(first.crashReports.size() == 2);
     CHECK(first.crashReports[0].receivers == std::vector<std::string> {"127.0.0.1:7001"});
     GatewayHarness second = twoMemberHarness();
