Reset the connection of a request that is given up

Cause: the connection of an attempt that nobody waits for was closed in the ordinary way, so the operating system went on sending what was not acknowledged. During a network partition the request then arrives at its target seconds after its caller has been answered. Class: work that outlives its request.

Change: a connection whose reply is still due is reset; its bytes are discarded on both sides. Evidence: the new driver test sees an ordinary end of the connection without the change.

--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -183,6 +183,16 @@
     }
 }
 
+void ByteStream::abort()
+{
+    try {
+        this->socket.setLinger(true, 0);
+    } catch (const Poco::Exception &) {
+        // The connection has ended already.
+    }
+    this->close();
+}
+
 void ByteStream::close()
 {
     try {
--- a/drivers/edge/byte_stream.h
+++ b/drivers/edge/byte_stream.h
@@ -43,6 +43,9 @@
     /// Closes the sending side of the connection.
     void finishWriting();
     void close();
+    /// Closes the connection and discards the bytes that the peer has not acknowledged. Otherwise
+    /// the operating system would go on sending them.
+    void abort();
 
     /// Returns the network round trip time to the peer as the operating system has measured it.
     std::optional<Duration> roundTripTime() const;
--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -147,7 +147,12 @@
     if (std::exchange(this->closed, true)) {
         return;
     }
-    this->stream.close();
+    if (this->awaitingReply && this->stream.isConnected()) {
+        // Nobody waits for the reply, so the request must not arrive later.
+        this->stream.abort();
+    } else {
+        this->stream.close();
+    }
     this->hooks.onEnd(*this, end);
 }
 
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -1,6 +1,7 @@
 #include "core/os/clock.h"
 #include "drivers/edge/target_links.h"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
@@ -183,6 +184,31 @@
     CHECK(fixture.writeDelays.size() == 1);
 }
 
+// Guards against a request that was given up during a network partition and arrives after it.
+TEST_CASE("closing an attempt resets its connection, so that bytes under way are discarded")
+{
+    LinksFixture fixture;
+    fixture.startAttempt(1, monotonicNow() + 800ms);
+    Poco::Net::StreamSocket connection;
+    fixture.receiveRequest(connection);
+    fixture.links.closeAttempt(AttemptId(1));
+    connection.setReceiveTimeout(Poco::Timespan(1, 0));
+    char byte = 0;
+    CHECK_THROWS_AS(connection.receiveBytes(&byte, 1), Poco::Net::ConnectionResetException);
+}
+
+TEST_CASE("closing an idle connection to a target does not reset it")
+{
+    LinksFixture fixture;
+    fixture.links.probe({7, TargetId("t"), fixture.listener.address().toString()}, monotonicNow());
+    fixture.pollUntilEvent();
+    Poco::Net::StreamSocket connection = fixture.listener.acceptConnection();
+    fixture.links.dropIdle();
+    connection.setReceiveTimeout(Poco::Timespan(1, 0));
+    char byte = 0;
+    CHECK(connection.receiveBytes(&byte, 1) == 0);
+}
+
 namespace {
 
 /// A target that sends bytes without end on each connection until the other side closes it.
