Drop the count of keep-alive probes between members, which has no effect

A time limit for unacknowledged bytes also decides when probes give up, whatever their count. Accepted connections that are dead end with the second probe, after 20 s, as before.

--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -38,10 +38,10 @@
 constexpr int unacknowledgedTimeoutMs = 1500;
 /// A new attempt to connect replaces one whose packets are sent again ever more rarely.
 constexpr int connectTimeoutMs = 1000;
-/// Accepted connections only receive, so that only keep-alive probes show that one is dead.
+/// Accepted connections only receive, so that only keep-alive probes show that one is dead. The
+/// time limit above also applies to probes, so that the second one ends the connection.
 constexpr int keepAliveIdleSeconds = 15;
 constexpr int keepAliveIntervalSeconds = 5;
-constexpr int keepAliveProbes = 3;
 constexpr int listenBacklog = 512;
 /// Limits the messages received per poll, so that a flood of them does not delay sending.
 constexpr int maxReceivedPerPoll = 256;
@@ -75,7 +75,6 @@
     socket.set(zmq::sockopt::tcp_keepalive, 1);
     socket.set(zmq::sockopt::tcp_keepalive_idle, keepAliveIdleSeconds);
     socket.set(zmq::sockopt::tcp_keepalive_intvl, keepAliveIntervalSeconds);
-    socket.set(zmq::sockopt::tcp_keepalive_cnt, keepAliveProbes);
 }
 
 } // namespace
