--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -31,6 +31,8 @@
 
 const auto startedAt = std::chrono::steady_clock::now();
 constexpr double heartbeat = 1.2;
+/// How long a crashed server is away.
+constexpr auto crashTime = std::chrono::seconds(3);
 /// The longest time that a case may run.
 constexpr unsigned maxRunSeconds = 118;
 
@@ -167,6 +169,17 @@
 
 } // namespace
 
+namespace {
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+} // namespace
+
 double now()
 {
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count();
@@ -268,9 +281,7 @@
     : world(world), record(record), id(std::move(id)), service(std::move(service)),
       zone(std::move(zone)), workTime(std::move(workTime))
 {
-    this->born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                         std::chrono::system_clock::now().time_since_epoch())
-                         .count();
+    this->born = unixMilliseconds();
     this->world.run([this] {
         this->server = std::make_unique<HttpServer>(
                 this->world.loop(), "127.0.0.1:0",
@@ -288,8 +299,27 @@
     this->world.run([this] { this->beat(); });
 }
 
+void Server::crash()
+{
+    this->record.line("server " + this->id + " crashes");
+    this->isUp = false;
+    this->server->closeAll();
+    this->world.loop().after(crashTime, [this] {
+        this->isUp = true;
+        this->born = unixMilliseconds();
+        this->sequence = 0;
+        this->server->listen();
+        this->record.line("server " + this->id + " is back");
+    });
+}
+
 void Server::beat()
 {
+    this->world.loop().after(std::chrono::milliseconds(static_cast<int>(heartbeat * 1000)),
+                             [this] { this->beat(); });
+    if (!this->isUp) {
+        return;
+    }
     this->world.store().put("servers/" + this->id,
                             json {{"service", this->service},
                                   {"address", this->server->boundAddress()},
@@ -301,8 +331,6 @@
                                   {"sequence", ++this->sequence},
                                   {"born", this->born}}
                                     .dump());
-    this->world.loop().after(std::chrono::milliseconds(static_cast<int>(heartbeat * 1000)),
-                             [this] { this->beat(); });
 }
 
 void Server::onRequest(HttpConnection &connection, const ReceivedRequest &request)
@@ -321,6 +349,15 @@
     }
     this->record.line("run " + requestId + " " + request.head.getMethod() + " "
                       + request.head.getURI() + " at " + this->id + " of " + this->service);
+    if (!this->crashPath.empty() && request.head.getURI().starts_with(this->crashPath)) {
+        // The connection is still in use, so it ends after this call.
+        this->world.loop().after(std::chrono::microseconds(0), [this] {
+            if (this->isUp) {
+                this->crash();
+            }
+        });
+        return;
+    }
     const std::uint64_t number = connection.number();
     this->world.loop().after(this->workTime(), [this, number, index, requestId] {
         const auto found = this->server->find(number);
@@ -333,8 +370,12 @@
             const std::lock_guard lock(this->mutex);
             this->allRuns[index].end = now();
         }
-        found->reply(200, {{"Request-Id", requestId}, {"Server-Stamp", this->id + "." + requestId}},
-                     "answer of " + this->service + " to " + requestId);
+        HttpHeaders headers {{"Request-Id", requestId},
+                             {"Server-Stamp", this->id + "." + requestId}};
+        if (!this->limit.empty()) {
+            headers.emplace_back("Server-Limit", this->limit);
+        }
+        found->reply(200, headers, "answer of " + this->service + " to " + requestId);
     });
 }
 
--- a/review/harness/harness.hh
+++ b/review/harness/harness.hh
@@ -101,12 +101,17 @@
 
     /// Registers in the store and writes a heartbeat every 1.2 s.
     void registerEntry();
+    /// Requests whose path begins so crash the process, which starts again after some seconds.
+    void setCrashPath(std::string prefix) { this->crashPath = std::move(prefix); }
+    /// Names a limit, in requests per second, in all answers.
+    void setLimit(std::string perSecond) { this->limit = std::move(perSecond); }
     std::vector<Run> runs() const;
 
 private:
     void onRequest(lagoondeck::HttpConnection &connection,
                    const lagoondeck::ReceivedRequest &request);
     void beat();
+    void crash();
 
     World &world;
     Record &record;
@@ -117,6 +122,9 @@
     std::unique_ptr<lagoondeck::HttpServer> server;
     std::uint64_t sequence = 0;
     std::int64_t born = 0;
+    std::string crashPath;
+    std::string limit;
+    bool isUp = true;
     mutable std::mutex mutex;
     std::vector<Run> allRuns;
 };
