--- a/review/harness/case_limit.cc
+++ b/review/harness/case_limit.cc
@@ -20,7 +20,7 @@
 constexpr double steadySeconds = 16.0;
 constexpr double restSeconds = 8.0;
 constexpr double steadyInterval = 0.25;
-constexpr int burstPerNode = 10;
+constexpr int burstPerNode = 20;
 constexpr double timeLimitSeconds = 6.0;
 
 const std::string config =
