--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -370,12 +370,8 @@
             const std::lock_guard lock(this->mutex);
             this->allRuns[index].end = now();
         }
-        HttpHeaders headers {{"Request-Id", requestId},
-                             {"Server-Stamp", this->id + "." + requestId}};
-        if (!this->limit.empty()) {
-            headers.emplace_back("Server-Limit", this->limit);
-        }
-        found->reply(200, headers, "answer of " + this->service + " to " + requestId);
+        found->reply(200, {{"Request-Id", requestId}, {"Server-Stamp", this->id + "." + requestId}},
+                     "answer of " + this->service + " to " + requestId);
     });
 }
 
--- a/review/harness/harness.hh
+++ b/review/harness/harness.hh
@@ -103,8 +103,6 @@
     void registerEntry();
     /// Requests whose path begins so crash the process, which starts again after some seconds.
     void setCrashPath(std::string prefix) { this->crashPath = std::move(prefix); }
-    /// Names a limit, in requests per second, in all answers.
-    void setLimit(std::string perSecond) { this->limit = std::move(perSecond); }
     std::vector<Run> runs() const;
 
 private:
@@ -123,7 +121,6 @@
     std::uint64_t sequence = 0;
     std::int64_t born = 0;
     std::string crashPath;
-    std::string limit;
     bool isUp = true;
     mutable std::mutex mutex;
     std::vector<Run> allRuns;
