--- a/review/harness/case_endless.cc
+++ b/review/harness/case_endless.cc
@@ -26,6 +26,7 @@
 constexpr double certInterval = 1.0 / 39.5;
 constexpr double checkInterval = 0.1;
 constexpr double troubleSeconds = 30.0;
+constexpr auto heartbeat = std::chrono::milliseconds(1200);
 
 const std::string config =
         R"({"version":3,"routes":[{"name":"cert","host":"h.example","prefix":"/cert/",)"
@@ -133,6 +134,7 @@
     Record record(argv[1]);
     const bool trouble = withTrouble();
     record.line(trouble ? "with the disruption" : "without the disruption");
+    std::vector<std::unique_ptr<std::function<void()>>> beats;
     World world;
     world.put("op/config", config);
     std::vector<std::unique_ptr<Server>> servers;
@@ -150,17 +152,23 @@
             continue;
         }
         endless.push_back(std::make_unique<EndlessServer>(record));
-        world.put("servers/i-k-" + zone,
-                  nlohmann::json {{"service", "katibayan"},
-                                  {"address", endless.back()->address()},
-                                  {"zone", zone},
-                                  {"version", "v1"},
-                                  {"slots", 4},
-                                  {"state", "ready"},
-                                  {"warmup_left_ms", 0},
-                                  {"sequence", 1},
-                                  {"born", 1700000000000}}
-                          .dump());
+        beats.push_back(std::make_unique<std::function<void()>>());
+        std::function<void()> &beat = *beats.back();
+        beat = [&world, &beat, zone, address = endless.back()->address(), sequence = 0]() mutable {
+            world.store().put("servers/i-k-" + zone,
+                              nlohmann::json {{"service", "katibayan"},
+                                              {"address", address},
+                                              {"zone", zone},
+                                              {"version", "v1"},
+                                              {"slots", 4},
+                                              {"state", "ready"},
+                                              {"warmup_left_ms", 0},
+                                              {"sequence", ++sequence},
+                                              {"born", 1700000000000}}
+                                      .dump());
+            world.loop().after(heartbeat, [&beat] { beat(); });
+        };
+        world.run([&beat] { beat(); });
     }
     const std::vector<std::string> ips = freeLoopbackAddresses(3);
     std::vector<std::unique_ptr<Node>> nodes;
