Log what a graceful stop leaves unfinished

Event 101 now tells how many requests are under way, and 102 how many are left, with the connections that have an unsent answer or unread bytes, and how many idle connections were closed while a caller's bytes waited in them.

--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -163,6 +163,16 @@
     }
 }
 
+bool ByteStream::hasUnreadInput() const
+{
+    try {
+        return !this->broken && this->socket.available() > 0;
+    } catch (const Poco::Exception &) {
+        // The connection has ended already.
+        return false;
+    }
+}
+
 std::optional<Duration> ByteStream::roundTripTime() const
 {
     tcp_info info {};
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -153,8 +153,7 @@
     while (!this->canExit(monotonicNow())) {
         this->runIteration(signals, reload);
     }
-    this->log({LogEvent::Stopped,
-               {numberField("requestsLeft", static_cast<std::int64_t>(this->exchanges.size()))}});
+    this->logStopped();
     this->jsonLog.flushAll();
     return {};
 }
@@ -234,6 +233,20 @@
     this->pendingEvents.push_back(GatewayStopRequested {});
 }
 
+void GatewayNode::logStopped()
+{
+    const ConnectionCounts counts = this->callerListener->counts();
+    const auto count = [](std::string name, std::uint64_t value) {
+        return numberField(std::move(name), static_cast<std::int64_t>(value));
+    };
+    this->log(
+            {LogEvent::Stopped,
+             {numberField("elapsedMs", toMilliseconds(monotonicNow() - *this->stopRequestedAt)),
+              count("requestsLeft", this->exchanges.size()), count("connectionsLeft", counts.open),
+              count("unsentAnswers", counts.unsent), count("unreadConnections", counts.unread),
+              count("closedUnread", counts.closedUnread)}});
+}
+
 bool GatewayNode::canExit(Instant now) const
 {
     if (!this->stopRequestedAt) {
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -56,6 +56,8 @@
     void checkTimeouts(Instant now);
     void beginStop(Instant now);
     bool canExit(Instant now) const;
+    /// Logs what the stop leaves unfinished.
+    void logStopped();
     void applyPendingEvents();
     Duration pollTimeout(Instant now) const;
 
--- a/drivers/edge/http_listener.cpp
+++ b/drivers/edge/http_listener.cpp
@@ -101,8 +101,21 @@
         }
     }
     for (ServerConnection *connection : idle) {
+        this->closedUnread += connection->hasUnreadInput() ? 1 : 0;
         connection->close();
     }
 }
 
+ConnectionCounts HttpListener::counts() const
+{
+    ConnectionCounts counts;
+    counts.open = this->connections.size();
+    counts.closedUnread = this->closedUnread;
+    for (const auto &[id, connection] : this->connections) {
+        counts.unsent += connection->hasUnsentOutput() ? 1 : 0;
+        counts.unread += connection->hasUnreadInput() ? 1 : 0;
+    }
+    return counts;
+}
+
 } // namespace lagoondeck
--- a/drivers/edge/http_listener.h
+++ b/drivers/edge/http_listener.h
@@ -2,6 +2,7 @@
 
 #include "core/routing_config.h"
 #include "core/time.h"
+#include "drivers/edge/connection_counts.h"
 #include "drivers/edge/edge_loop.h"
 #include "drivers/edge/server_connection.h"
 
@@ -33,6 +34,7 @@
     /// Closes the connections that have no request in progress.
     void closeIdle();
     std::size_t size() const { return this->connections.size(); }
+    ConnectionCounts counts() const;
 
 private:
     void acceptAll();
@@ -44,6 +46,7 @@
     bool listening = false;
     std::unordered_map<std::uint64_t, std::unique_ptr<ServerConnection>> connections;
     std::uint64_t lastId = 0;
+    std::uint64_t closedUnread = 0;
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -44,6 +44,10 @@
     void answer(const std::string &bytes, bool close, Instant now);
     /// Returns true if a request has not been answered.
     bool isServing() const { return this->answerPending; }
+    /// Returns true if the peer sent bytes that were not read yet.
+    bool hasUnreadInput() const { return this->stream.hasUnreadInput(); }
+    /// Returns true if an answer was not sent completely.
+    bool hasUnsentOutput() const { return this->stream.hasPendingOutput(); }
     /// Returns true if no request is being read or answered.
     bool isIdle() const
     {
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -387,7 +387,10 @@
 {
     this->stopping = true;
     this->registration.withdraw(context);
-    context.log(LogEvent::Stopping, {});
+    context.log(LogEvent::Stopping,
+                {numberField("requests",
+                             static_cast<std::int64_t>(this->forwarder.exchangesInFlight()
+                                                       + this->delegator.size()))});
 }
 
 Instant Gateway::nextTimer() const
