Answer every request before a stopping instance ends, or refuse it as not run

Cause: only the event loop knew when the process ends. The gateway took and passed on requests until then, with the time limits of their callers, and nothing answered those that were left.

Now the gateway has the schedule of the stop (Shutdown). A request whose answer can't be expected in time is refused at once, so that its caller can try another instance; the deadline of every other one is moved forward, so that all are answered while there is time to send the answers.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -32,8 +32,6 @@
 /// After a stop request the load balancer needs two readiness checks, one second apart, to notice
 /// that this instance is not ready.
 constexpr Duration balancerReactionTime = std::chrono::milliseconds(2600);
-/// The part of the grace period, at its end, that is reserved for sending the last bytes.
-constexpr Duration stopReserve = std::chrono::milliseconds(400);
 /// If an iteration of the event loop takes longer than this, the process was paused: work alone
 /// does not take this long.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(700);
@@ -252,10 +250,17 @@
     if (!this->stopRequestedAt) {
         return false;
     }
-    const bool drained = this->gateway.isIdle() && this->exchanges.empty()
-            && this->callerListener->size() == 0
-            && now > *this->stopRequestedAt + balancerReactionTime;
-    return drained || now > *this->stopRequestedAt + this->settings.stopGrace - stopReserve;
+    const Shutdown &schedule = this->gateway.shutdownSchedule();
+    if (now >= schedule.exitDueAt()) {
+        return true;
+    }
+    if (!this->gateway.isIdle() || !this->exchanges.empty()) {
+        return false;
+    }
+    if (now >= schedule.answersDueAt()) {
+        return this->callerListener->isQuiet();
+    }
+    return this->callerListener->size() == 0 && now > *this->stopRequestedAt + balancerReactionTime;
 }
 
 void GatewayNode::applyPendingEvents()
--- a/drivers/edge/http_listener.cpp
+++ b/drivers/edge/http_listener.cpp
@@ -5,6 +5,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <boost/leaf/error.hpp>
 #include <utility>
 #include <vector>
@@ -106,6 +107,12 @@
     }
 }
 
+bool HttpListener::isQuiet() const
+{
+    return std::ranges::all_of(this->connections,
+                               [](const auto &entry) { return entry.second->isQuiet(); });
+}
+
 ConnectionCounts HttpListener::counts() const
 {
     ConnectionCounts counts;
--- a/drivers/edge/http_listener.h
+++ b/drivers/edge/http_listener.h
@@ -34,6 +34,8 @@
     /// Closes the connections that have no request in progress.
     void closeIdle();
     std::size_t size() const { return this->connections.size(); }
+    /// Returns true if no request is being read or answered, and no answer is being sent.
+    bool isQuiet() const;
     ConnectionCounts counts() const;
 
 private:
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -54,6 +54,12 @@
         return !this->answerPending && !this->reader.hasStarted() && this->input.empty()
                 && !this->closing;
     }
+    /// Returns true if closing the connection now costs the peer neither a request nor an answer.
+    bool isQuiet() const
+    {
+        return (this->isIdle() || this->closing) && !this->hasUnsentOutput()
+                && !this->hasUnreadInput();
+    }
     /// Closes the connection if the peer sends its request too slowly or is idle for too long.
     void checkTimeouts(const CallerLimits &limits, Instant now);
     void close();
--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -6,6 +6,7 @@
 #include "core/time.h"
 #include "logic/gateway/exchange_id.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -48,6 +49,18 @@
     std::optional<DelegationOrigin> origin;
     /// Whether the other members were asked for help and none of them took the request.
     bool isDeclined = false;
+    /// Whether the deadline is the end of this instance instead of the caller's own.
+    bool isCutShort = false;
+
+    /// Moves the deadline forward because this instance ends then.
+    void endBy(Instant at)
+    {
+        if (at < this->deadlineAt) {
+            this->deadlineAt = at;
+            this->objectiveAt = std::min(this->objectiveAt, at);
+            this->isCutShort = true;
+        }
+    }
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -54,6 +54,8 @@
         return "coordinator-silent";
     case EndReason::ReadLate:
         return "read-late";
+    case EndReason::Stopping:
+        return "stopping";
     case EndReason::Quarantined:
         return "quarantined";
     }
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -34,6 +34,7 @@
     CallerLeft,
     CoordinatorSilent, ///< The coordinator of the request did not react any more.
     ReadLate,          ///< The caller's time may have run out before the request was read.
+    Stopping,          ///< This instance stops before the request can be answered.
     Quarantined,       ///< The request broke the connections of targets that ran it earlier.
 };
 
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -102,6 +102,12 @@
     /// Returns the requests that this instance can't send to targets itself. Nothing was sent for
     /// them.
     std::vector<AdmittedRequest> takeStranded() { return std::exchange(this->stranded, {}); }
+    /// Returns the time that a request of the route takes at most, as far as is known.
+    Duration timeNeeded(const Route &route);
+    /// Called when this instance is asked to stop: all requests must be answered by the given time.
+    void onStopping(Instant answersDueAt);
+    /// Refuses a request that can't be answered before this instance ends.
+    void refuseStopping(const AdmittedRequest &request, GatewayContext &context);
     /// Refuses a request for which there is no path to the targets.
     void refuseWithoutPath(const AdmittedRequest &request, GatewayContext &context);
 
@@ -164,6 +170,10 @@
     /// Refuses a gathered exchange that can't reach its minimum coverage because of limits or
     /// pauses. Nothing has been sent for it.
     bool refuseRestricted(Exchange &exchange, GatewayContext &context);
+    /// Refuses an exchange for which nothing was sent, because this instance ends.
+    void refuseUnsent(Exchange &exchange, GatewayContext &context);
+    /// Returns until when an attempt may start, because later ones would not end in time.
+    Instant latestStart(const Exchange &exchange);
     /// Returns true if the other parts can reach the minimum coverage without this one.
     bool isDispensable(const Exchange &exchange, const Part &part) const;
 
@@ -215,6 +225,9 @@
     /// Leaves an exchange for which nothing was sent to another member. Returns false if that is
     /// not possible.
     bool leaveToMembers(Exchange &exchange, GatewayContext &context);
+    /// Refuses a request for which nothing was sent.
+    void refuse(const AdmittedRequest &request, EndReason reason, Duration retryAfter,
+                std::string detail, GatewayContext &context);
 
     TargetRegistry &targets;
     TargetPath &path;
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr int minErrorStatus = 400;
-constexpr int statusTimeout = 504;
 /// A request waits for a replica with capacity for at most its objective divided by this. If it is
 /// refused then, another instance can still serve it in time.
 constexpr int maxQueueTimeDivisor = 5;
@@ -127,15 +126,21 @@
         this->finish(exchange, std::move(reply), EndReason::TargetsLimited, context);
     } else if (!exchange.mayHaveRun() && this->leaveToMembers(exchange, context)) {
         return;
+    } else if (!exchange.mayHaveRun() && context.now >= this->latestStart(exchange)) {
+        this->refuseUnsent(exchange, context);
     } else if (!exchange.mayHaveRun()) {
         reply.status = forwarding::statusUnavailable;
         reply.retryAfter = forwarding::retryAfterRefusal;
         reply.detail = "not run: no target could take the request";
         this->finish(exchange, std::move(reply), EndReason::NoTarget, context);
     } else if (context.now >= exchange.deadlineAt) {
-        reply.status = statusTimeout;
-        reply.detail = "the targets did not answer in time";
-        this->finish(exchange, std::move(reply), EndReason::DeadlinePassed, context);
+        reply.status = forwarding::statusTimeout;
+        reply.detail = exchange.isCutShort
+                ? "this instance stops, and no target answered before; the request may have run"
+                : "the targets did not answer in time";
+        this->finish(exchange, std::move(reply),
+                     exchange.isCutShort ? EndReason::Stopping : EndReason::DeadlinePassed,
+                     context);
     } else {
         reply.status = forwarding::statusBadGateway;
         reply.detail = "the targets failed";
@@ -188,7 +193,8 @@
         return;
     }
     const Instant queueDeadline =
-            exchange.arrivedAt + exchange.route->objective / maxQueueTimeDivisor;
+            std::min(exchange.arrivedAt + exchange.route->objective / maxQueueTimeDivisor,
+                     this->latestStart(exchange));
     Instant next = exchange.deadlineAt;
     if (gathers && context.now < exchange.objectiveAt) {
         next = std::min(next, exchange.objectiveAt);
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -135,15 +135,10 @@
 {
     // The path is probed several times in this time, and the callers should not return together.
     std::uniform_real_distribution<double> spread(0.5, 1.5);
-    CallerReply reply;
-    reply.status = forwarding::statusUnavailable;
-    reply.retryAfter =
-            std::chrono::duration_cast<Duration>(retryAfterWithoutPath * spread(context.random));
-    reply.detail = "not run: this instance reaches no target, and no other one took the request";
-    ExchangeEnd end {request.route->name, ExchangeOutcome::Refused, EndReason::NoPath,
-                     context.now - request.arrivedAt};
-    logExchangeEnd(*request.request, end, nullptr, this->sampleOneIn, context);
-    context.emit(AnswerExchange {request.id, std::move(reply), std::move(end)});
+    this->refuse(
+            request, EndReason::NoPath,
+            std::chrono::duration_cast<Duration>(retryAfterWithoutPath * spread(context.random)),
+            "not run: this instance reaches no target, and no other one took the request", context);
 }
 
 void Forwarder::closeSilentAttempts(GatewayContext &context)
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -209,7 +209,7 @@
 {
     Part &part = exchange.parts[index];
     part.hedgeAt = Instant::max();
-    if (!canHedge(exchange, part)) {
+    if (!canHedge(exchange, part) || context.now >= this->latestStart(exchange)) {
         return;
     }
     const TargetChoice choice = this->targets.choose(*part.group, termsFor(exchange, part, true),
@@ -277,7 +277,8 @@
         return;
     }
     const bool canRepeat = exchange.route->idempotent || part.possibleRuns == 0;
-    const bool hasTimeLeft = context.now + forwarding::replyTransfer < exchange.deadlineAt;
+    const bool hasTimeLeft = context.now + forwarding::replyTransfer < exchange.deadlineAt
+            && context.now < this->latestStart(exchange);
     if (!canRepeat || !hasTimeLeft || part.possibleRuns >= exchange.route->attempts
         || part.failedConnects > maxFailedConnects) {
         part.phase = PartPhase::Abandoned;
@@ -313,6 +314,11 @@
             queue.pop_front();
             continue;
         }
+        if (context.now >= this->latestStart(*exchange)) {
+            // The exchange's own timer ends it.
+            queue.pop_front();
+            continue;
+        }
         Part &part = exchange->parts[next.part];
         const TargetChoice choice = this->targets.choose(group, termsFor(*exchange, part, false),
                                                          context.now, context.random);
--- a/logic/gateway/forwarding_constants.h
+++ b/logic/gateway/forwarding_constants.h
@@ -10,6 +10,7 @@
 
 inline constexpr int statusBadGateway = 502;
 inline constexpr int statusUnavailable = 503;
+inline constexpr int statusTimeout = 504;
 /// When a caller may try again after a refusal that concerns only this instance or this moment.
 inline constexpr Duration retryAfterRefusal = std::chrono::milliseconds(20);
 /// A target's time limit ends this much before the caller's, so that its reply can still be
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -74,6 +74,9 @@
     std::optional<AdmittedRequest> request =
             this->forwarder.admit(event, *this->storeSync.routes(),
                                   context.now - this->storeSync.lastConfirmedAt(), context);
+    if (request && this->refuseIfTooLate(*request, context)) {
+        return;
+    }
     if (request && request->route->gathers()) {
         this->gatheredRate.add(context.now);
     }
@@ -90,6 +93,17 @@
     }
 }
 
+bool Gateway::refuseIfTooLate(AdmittedRequest &request, GatewayContext &context)
+{
+    const Instant endsBy = request.isCutShort ? Instant::max() : request.deadlineAt;
+    if (!this->shutdown.canServe(this->forwarder.timeNeeded(*request.route), endsBy, context.now)) {
+        this->forwarder.refuseStopping(request, context);
+        return true;
+    }
+    request.endBy(this->shutdown.answersDueAt());
+    return false;
+}
+
 void Gateway::requestHelp(AdmittedRequest request, GatewayContext &context)
 {
     if (auto declined = this->delegator.requestHelp(std::move(request), this->ranking(context.now),
@@ -155,10 +169,14 @@
 void Gateway::passOnRequests(GatewayContext &context)
 {
     for (AdmittedRequest &request : this->delegator.takeReturned()) {
-        this->startReturned(std::move(request), context);
+        if (!this->refuseIfTooLate(request, context)) {
+            this->startReturned(std::move(request), context);
+        }
     }
     for (AdmittedRequest &request : this->forwarder.takeStranded()) {
-        this->requestHelp(std::move(request), context);
+        if (!this->refuseIfTooLate(request, context)) {
+            this->requestHelp(std::move(request), context);
+        }
     }
 }
 
@@ -169,7 +187,7 @@
 
 IntakeConditions Gateway::intakeConditions() const
 {
-    return {this->readyRoutes(), this->stopping, this->path.state() == PathState::Up};
+    return {this->readyRoutes(), this->shutdown.hasBegun(), this->path.state() == PathState::Up};
 }
 
 void Gateway::on(const InquiryReceived &event, GatewayContext &context)
@@ -385,8 +403,10 @@
 
 void Gateway::on(const GatewayStopRequested &, GatewayContext &context)
 {
-    this->stopping = true;
+    this->shutdown.begin(context.now, this->settings.stopGrace);
     this->registration.withdraw(context);
+    this->forwarder.onStopping(this->shutdown.answersDueAt());
+    this->delegator.onStopping(this->shutdown.answersDueAt());
     context.log(LogEvent::Stopping,
                 {numberField("requests",
                              static_cast<std::int64_t>(this->forwarder.exchangesInFlight()
@@ -410,7 +430,7 @@
 {
     GatewayStatus status;
     status.ready = this->isReady();
-    status.stopping = this->stopping;
+    status.stopping = this->shutdown.hasBegun();
     status.configVersion =
             this->storeSync.routes() == nullptr ? 0 : this->storeSync.routes()->config()->version;
     status.targets = this->targets.size();
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "logic/gateway/registration.h"
 #include "logic/gateway/request_delegator.h"
 #include "logic/gateway/seen_numbers.h"
+#include "logic/gateway/shutdown.h"
 #include "logic/gateway/store_sync.h"
 #include "logic/gateway/target_path.h"
 #include "logic/gateway/target_registry.h"
@@ -66,11 +67,13 @@
     /// Returns when the next TimerDue event must be passed to apply().
     Instant nextTimer() const;
     /// Returns whether the load balancer may send callers to this instance.
-    bool isReady() const { return this->storeSync.isReady() && !this->stopping; }
+    bool isReady() const { return this->storeSync.isReady() && !this->shutdown.hasBegun(); }
     bool isIdle() const
     {
         return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0;
     }
+    /// The schedule of a requested stop.
+    const Shutdown &shutdownSchedule() const { return this->shutdown; }
     /// Returns what callers may send: the defaults until a configuration is known.
     CallerLimits limits() const;
     GatewayStatus status(Instant now) const;
@@ -108,6 +111,9 @@
     bool shouldDelegate(Instant now);
     /// Applies a change of the path to the targets to the running requests.
     void applyPathChange(GatewayContext &context);
+    /// Refuses a request that can't be answered before this instance ends. Otherwise makes sure
+    /// that it is answered by then, and returns false.
+    bool refuseIfTooLate(AdmittedRequest &request, GatewayContext &context);
     /// Asks other members to serve a request, or serves it if there is nobody to ask.
     void requestHelp(AdmittedRequest request, GatewayContext &context);
     /// Serves or refuses a request that no other member took.
@@ -131,7 +137,7 @@
     RandomEngine random;
     IdSource ids;
     Instant startedAt {};
-    bool stopping = false;
+    Shutdown shutdown;
     TargetRegistry targets;
     TargetPath path;
     StoreSync storeSync;
--- a/logic/gateway/request_delegator.cpp
+++ b/logic/gateway/request_delegator.cpp
@@ -293,6 +293,10 @@
     for (auto next = this->requests.begin(); next != this->requests.end();) {
         const auto current = next++;
         PendingRequest &pending = current->second;
+        if (pending.request.isCutShort && context.now >= pending.request.deadlineAt) {
+            this->endCutShort(current, context);
+            continue;
+        }
         if (context.now < pending.silentAt) {
             continue;
         }
@@ -314,24 +318,55 @@
 {
     // The member may have used all attempts that the route allows, so none are left. A caller that
     // asks again has attempts of its own.
-    const auto &[number, silent] = *pending;
-    const MemberRecord &member = silent.asked.front();
-    context.emit(CancelDelegation {member.peerAddress, number});
     CallerReply reply;
     reply.status = forwarding::statusBadGateway;
     reply.detail = "the instance that served the request for this one fell silent; it may have run";
-    ExchangeEnd end = endOf(silent.request, reply, context.now);
-    end.reason = EndReason::CoordinatorSilent;
-    context.emit(AnswerExchange {silent.request.id, std::move(reply), end});
-    logDelegatedEnd(silent.request, end, member.id, this->sampleOneIn, context);
+    this->end(pending, std::move(reply), EndReason::CoordinatorSilent, context);
+}
+
+void RequestDelegator::endCutShort(PendingRequests::iterator pending, GatewayContext &context)
+{
+    CallerReply reply;
+    if (pending->second.sent) {
+        reply.status = forwarding::statusTimeout;
+        reply.detail = "this instance stops before the answer arrived; the request may have run";
+    } else {
+        reply.status = forwarding::statusUnavailable;
+        reply.retryAfter = forwarding::retryAfterRefusal;
+        reply.detail = "not run: this instance stops";
+    }
+    this->end(pending, std::move(reply), EndReason::Stopping, context);
+}
+
+void RequestDelegator::end(PendingRequests::iterator pending, CallerReply reply, EndReason reason,
+                           GatewayContext &context)
+{
+    const auto &[number, ended] = *pending;
+    InstanceId member;
+    if (ended.sent) {
+        member = ended.asked.front().id;
+        context.emit(CancelDelegation {ended.asked.front().peerAddress, number});
+    }
+    ExchangeEnd end = endOf(ended.request, reply, context.now);
+    end.reason = reason;
+    context.emit(AnswerExchange {ended.request.id, std::move(reply), end});
+    logDelegatedEnd(ended.request, end, member, this->sampleOneIn, context);
     this->requests.erase(pending);
 }
 
+void RequestDelegator::onStopping(Instant answersDueAt)
+{
+    for (auto &[number, pending] : this->requests) {
+        pending.request.endBy(answersDueAt);
+    }
+}
+
 Instant RequestDelegator::nextTimer() const
 {
     Instant next = Instant::max();
     for (const auto &[number, pending] : this->requests) {
-        next = std::min(next, pending.silentAt);
+        next = std::min({next, pending.silentAt,
+                         pending.request.isCutShort ? pending.request.deadlineAt : Instant::max()});
     }
     return next;
 }
--- a/logic/gateway/request_delegator.h
+++ b/logic/gateway/request_delegator.h
@@ -68,6 +68,8 @@
     void onAnswer(const DelegatedAnswerReceived &event, GatewayContext &context);
     /// Called when a caller closed its connection. Returns false if its request is not delegated.
     bool onCallerLeft(ExchangeId id, GatewayContext &context);
+    /// Called when this instance is asked to stop: all requests must be answered by the given time.
+    void onStopping(Instant answersDueAt);
     void onTimer(GatewayContext &context);
     /// Returns when onTimer() must be called next.
     Instant nextTimer() const;
@@ -116,6 +118,11 @@
     void giveBack(PendingRequests::iterator pending);
     /// Ends a request whose member does not react any more.
     void endSilent(PendingRequests::iterator pending, GatewayContext &context);
+    /// Ends a request that was not answered before this instance ends.
+    void endCutShort(PendingRequests::iterator pending, GatewayContext &context);
+    /// Answers a request without the member that it was sent to, if any.
+    void end(PendingRequests::iterator pending, CallerReply reply, EndReason reason,
+             GatewayContext &context);
 
     FailureDomain domain;
     std::uint64_t sampleOneIn;
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -96,6 +96,9 @@
     if (reason == "no-configuration") {
         return "the instance had no configuration yet";
     }
+    if (reason == "stopping") {
+        return "the instance was asked to stop, and would have ended before the answer";
+    }
     if (reason == "read-late") {
         return "the instance was busy or paused, and read it too late to serve it";
     }
--- /dev/null
+++ b/tests/drivers_edge/test_graceful_stop.cpp
@@ -0,0 +1,106 @@
+// What callers see of a daemon that is asked to stop and goes on getting requests until it ends.
+
+#include "gateway_node_fixture.h"
+#include "raw_caller.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace lagoondeck;
+using namespace lagoondeck::edgetest;
+
+namespace {
+
+/// Callers that go on sending until they are stopped.
+class CallerLoad
+{
+public:
+    explicit CallerLoad(GatewayFixture &fixture) : address(fixture.settings.callerAddress) { }
+    ~CallerLoad() { this->finish(); }
+
+    /// Sends each request on a new connection, one in each interval.
+    void startOnNewConnections(const std::string &path, Duration interval)
+    {
+        this->threads.emplace_back([this, path, interval] {
+            std::vector<std::thread> callers;
+            for (auto next = std::chrono::steady_clock::now(); !this->ending; next += interval) {
+                std::this_thread::sleep_until(next);
+                callers.emplace_back([this, path] {
+                    RawCaller caller(this->address);
+                    if (caller.isConnected()) {
+                        this->add(caller.call(path, this->nextId()));
+                    }
+                });
+            }
+            for (std::thread &caller : callers) {
+                caller.join();
+            }
+        });
+    }
+
+    /// Waits for all answers and returns what the callers saw.
+    const std::vector<CallerView> &finish()
+    {
+        this->ending = true;
+        for (std::thread &thread : this->threads) {
+            thread.join();
+        }
+        this->threads.clear();
+        return this->views;
+    }
+
+private:
+    std::string nextId() { return "load-" + std::to_string(++this->lastId); }
+
+    void add(CallerView view)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->views.push_back(std::move(view));
+    }
+
+    std::string address;
+    std::atomic<bool> ending = false;
+    std::atomic<std::uint64_t> lastId = 0;
+    std::mutex mutex;
+    std::vector<CallerView> views;
+    std::vector<std::thread> threads;
+};
+
+/// Returns how many requests ran at a target without an answer to their caller.
+std::size_t countLost(const GatewayFixture &fixture, const std::vector<CallerView> &views)
+{
+    std::size_t lost = 0;
+    for (const CallerView &view : views) {
+        lost += view.sent && view.status == 0 && fixture.hasRun(view.id) ? 1 : 0;
+    }
+    return lost;
+}
+
+} // namespace
+
+// Guards against requests that come late in the grace period, are passed on and are cut off when
+// the process ends.
+TEST_CASE("steady load: a stopping daemon answers every request that it passes on")
+{
+    GatewayFixture fixture;
+    for (const auto &target : fixture.targets) {
+        target->setDelay(160ms);
+    }
+    CallerLoad load(fixture);
+    load.startOnNewConnections("/one/x", 40ms);
+    load.startOnNewConnections("/once/x", 40ms);
+    std::this_thread::sleep_for(500ms);
+    fixture.stop();
+    const std::vector<CallerView> &views = load.finish();
+    CHECK(fixture.runSucceeded);
+    CHECK(countLost(fixture, views) == 0);
+    const auto countStatus = [&](int status) {
+        return std::ranges::count(views, status, &CallerView::status);
+    };
+    // Callers are served while there is time, and then refused.
+    CHECK(countStatus(200) > static_cast<std::ptrdiff_t>(views.size() / 2));
+    CHECK(countStatus(503) > 0);
+}
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -54,6 +54,10 @@
                 this->delegated.push_back(*delegated);
             } else if (auto *receipt = std::get_if<SendReceipt>(&effect)) {
                 this->receipts.push_back(*receipt);
+            } else if (auto *delegatedAnswer = std::get_if<SendDelegatedAnswer>(&effect)) {
+                this->delegatedAnswers.push_back(*delegatedAnswer);
+            } else if (auto *cancellation = std::get_if<CancelDelegation>(&effect)) {
+                this->cancellations.push_back(*cancellation);
             } else if (auto *answer = std::get_if<AnswerExchange>(&effect)) {
                 this->answers[answer->exchange].push_back(answer->reply);
             } else if (auto *log = std::get_if<WriteLog>(&effect)) {
@@ -218,6 +222,8 @@
     std::vector<SendInquiry> inquiries;
     std::vector<DelegateRequest> delegated;
     std::vector<SendReceipt> receipts;
+    std::vector<SendDelegatedAnswer> delegatedAnswers;
+    std::vector<CancelDelegation> cancellations;
     std::map<ExchangeId, std::vector<CallerReply>> answers;
     /// Unanswered calls of the store.
     std::vector<CallStore> calls;
