Don't close connections that wait for their first request as idle

Cause: the check that closes a stopping instance's idle connections ran in the iteration that a new connection had woken, and took it for idle. The log showed it: closedUnread 4 to 6 for each stop, 100 ms apart, while others were served.

Now a connection without a request is left open for a second, and each connection is read once more before it is closed. The counter closedUnread has nothing left to count and goes.

--- a/drivers/edge/connection_counts.h
+++ b/drivers/edge/connection_counts.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 
 namespace lagoondeck {
 
@@ -13,8 +12,6 @@
     std::size_t unsent = 0;
     /// Their peer sent bytes that were not read.
     std::size_t unread = 0;
-    /// Idle connections that were closed while unread bytes waited, since the process started.
-    std::uint64_t closedUnread = 0;
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -221,7 +221,7 @@
     this->targets.checkTimeouts(now);
     this->store.checkTimeouts(now);
     if (this->stopRequestedAt && now > *this->stopRequestedAt + balancerReactionTime) {
-        this->callerListener->closeIdle();
+        this->callerListener->closeUnused(now);
     }
 }
 
@@ -241,8 +241,7 @@
             {LogEvent::Stopped,
              {numberField("elapsedMs", toMilliseconds(monotonicNow() - *this->stopRequestedAt)),
               count("requestsLeft", this->exchanges.size()), count("connectionsLeft", counts.open),
-              count("unsentAnswers", counts.unsent), count("unreadConnections", counts.unread),
-              count("closedUnread", counts.closedUnread)}});
+              count("unsentAnswers", counts.unsent), count("unreadConnections", counts.unread)}});
 }
 
 bool GatewayNode::canExit(Instant now) const
--- a/drivers/edge/http_listener.cpp
+++ b/drivers/edge/http_listener.cpp
@@ -93,7 +93,7 @@
     }
 }
 
-void HttpListener::closeIdle()
+void HttpListener::closeUnused(Instant now)
 {
     std::vector<ServerConnection *> idle;
     for (const auto &[id, connection] : this->connections) {
@@ -102,8 +102,7 @@
         }
     }
     for (ServerConnection *connection : idle) {
-        this->closedUnread += connection->hasUnreadInput() ? 1 : 0;
-        connection->close();
+        connection->closeIfUnused(now);
     }
 }
 
@@ -117,7 +116,6 @@
 {
     ConnectionCounts counts;
     counts.open = this->connections.size();
-    counts.closedUnread = this->closedUnread;
     for (const auto &[id, connection] : this->connections) {
         counts.unsent += connection->hasUnsentOutput() ? 1 : 0;
         counts.unread += connection->hasUnreadInput() ? 1 : 0;
--- a/drivers/edge/http_listener.h
+++ b/drivers/edge/http_listener.h
@@ -31,8 +31,8 @@
     /// Returns the connection with the given id, or nullptr if it has ended.
     ServerConnection *find(std::uint64_t id);
     void checkTimeouts(Instant now);
-    /// Closes the connections that have no request in progress.
-    void closeIdle();
+    /// Closes the connections that no caller uses.
+    void closeUnused(Instant now);
     std::size_t size() const { return this->connections.size(); }
     /// Returns true if no request is being read or answered, and no answer is being sent.
     bool isQuiet() const;
@@ -48,7 +48,6 @@
     bool listening = false;
     std::unordered_map<std::uint64_t, std::unique_ptr<ServerConnection>> connections;
     std::uint64_t lastId = 0;
-    std::uint64_t closedUnread = 0;
 };
 
 } // namespace lagoondeck
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -18,6 +18,8 @@
 constexpr Duration drainTime = std::chrono::seconds(1);
 /// The number of bytes that a peer may send ahead of the answer, in addition to one request body.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+/// The first request of a connection arrives within this time, or its caller has given up.
+constexpr Duration firstRequestWait = std::chrono::seconds(1);
 
 } // namespace
 
@@ -25,7 +27,8 @@
                                    const CallerLimits &limits, const Hooks &hooks, Instant now)
     : loop(loop), stream(loop, std::move(socket)), connectionId(id), limits(limits), hooks(hooks),
       reader(HttpReader::Kind::Request, limits.headerBytes, limits.bodyBytes),
-      establishedAfter(loop.arrivedAfter()), acceptedAtWait(loop.waitCount()), idleSince(now)
+      establishedAfter(loop.arrivedAfter()), acceptedAtWait(loop.waitCount()), acceptedAt(now),
+      idleSince(now)
 {
     this->stream.watch([this](int mode) { this->onReady(mode); });
 }
@@ -48,6 +51,11 @@
         this->close();
         return;
     }
+    this->readInput();
+}
+
+void ServerConnection::readInput()
+{
     const std::size_t bufferedBytes = this->input.size();
     const ReadResult result = this->stream.read(this->input);
     this->inputArrivals.add(this->input.size() - bufferedBytes, this->arrivedAfter());
@@ -168,6 +176,19 @@
     }
 }
 
+void ServerConnection::closeIfUnused(Instant now)
+{
+    const bool isNew = this->requestsRead == 0 && now - this->acceptedAt < firstRequestWait;
+    if (isNew || !this->isIdle()) {
+        return;
+    }
+    // A request may have arrived since the loop waited for input.
+    this->readInput();
+    if (!this->closed && this->isIdle()) {
+        this->close();
+    }
+}
+
 void ServerConnection::close()
 {
     if (std::exchange(this->closed, true)) {
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -63,9 +63,14 @@
     /// Closes the connection if the peer sends its request too slowly or is idle for too long.
     void checkTimeouts(const CallerLimits &limits, Instant now);
     void close();
+    /// Closes the connection if it is idle, unless its caller is about to use it: a request has
+    /// arrived, or the connection is so new that one is on its way.
+    void closeIfUnused(Instant now);
 
 private:
     void onReady(int mode);
+    /// Reads what has arrived, and handles the requests that are complete.
+    void readInput();
     /// Returns a time after which the bytes have arrived that are read now.
     Instant arrivedAfter() const;
     void readRequests();
@@ -95,6 +100,7 @@
     /// True if the last answer is being sent; further input is discarded.
     bool closing = false;
     bool writingFinished = false;
+    Instant acceptedAt {};
     Instant idleSince {};
     Instant requestStartedAt {};
     Instant closingSince {};
--- a/tests/drivers_edge/raw_caller.h
+++ b/tests/drivers_edge/raw_caller.h
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <chrono>
 #include <cstdlib>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
     int status = 0;
     /// True if the answer announces that the connection is closed.
     bool closes = false;
+    /// When the answer or the end of the connection was noticed.
+    std::chrono::steady_clock::time_point endedAt;
     std::string head;
 };
 
@@ -58,6 +61,7 @@
         if (view.sent) {
             this->receive(view);
         }
+        view.endedAt = std::chrono::steady_clock::now();
         return view;
     }
 
--- a/tests/drivers_edge/test_graceful_stop.cpp
+++ b/tests/drivers_edge/test_graceful_stop.cpp
@@ -69,6 +69,18 @@
     std::vector<std::thread> threads;
 };
 
+/// Returns how many connections were closed without an answer while others were still answered.
+std::size_t countClosedBetween(const std::vector<CallerView> &views)
+{
+    std::chrono::steady_clock::time_point lastAnswerAt;
+    for (const CallerView &view : views) {
+        lastAnswerAt = view.status != 0 ? std::max(lastAnswerAt, view.endedAt) : lastAnswerAt;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(views, [&](const CallerView &view) {
+        return view.status == 0 && view.endedAt < lastAnswerAt;
+    }));
+}
+
 /// Returns how many requests ran at a target without an answer to their caller.
 std::size_t countLost(const GatewayFixture &fixture, const std::vector<CallerView> &views)
 {
@@ -104,3 +116,30 @@
     CHECK(countStatus(200) > static_cast<std::ptrdiff_t>(views.size() / 2));
     CHECK(countStatus(503) > 0);
 }
+
+// Guards against a check for idle connections that closes the one that has just been accepted.
+TEST_CASE("steady load: a stopping daemon closes no new connection before its request is read")
+{
+    GatewayFixture fixture;
+    for (const auto &target : fixture.targets) {
+        target->setDelay(160ms);
+    }
+    CallerLoad load(fixture);
+    for (int i = 0; i < 4; ++i) {
+        load.startOnNewConnections("/one/x", 80ms);
+    }
+    std::this_thread::sleep_for(500ms);
+    fixture.stop();
+    CHECK(countClosedBetween(load.finish()) == 0);
+}
+
+TEST_CASE("the first request of a connection is read although it comes late in a stop")
+{
+    GatewayFixture fixture;
+    std::raise(SIGTERM);
+    std::this_thread::sleep_for(2500ms);
+    RawCaller caller(fixture.settings.callerAddress);
+    REQUIRE(caller.isConnected());
+    std::this_thread::sleep_for(400ms);
+    CHECK(caller.call("/one/x", "late").status == 200);
+}
