Don't take a full send buffer for a broken connection

A caller that read a long answer slowly got the first 4 MiB, and then the connection was closed. The same would end requests to targets that are longer than the send buffer, and count as crashes of these targets.

Cause: POCO throws when a non-blocking socket takes no more bytes (IOException with code EAGAIN), and each exception while sending counted as a failed connection. Evidence: in a system call trace sendto returns EAGAIN and close follows.

sendAvailable() tells the two apart; both drivers and the stand-ins' server use it. The server had the same fault, which hid it from the tests.

Test: "slow reader: an answer that is longer than all buffers arrives completely" fails in 3 of 3 runs before (with the stand-in's server already corrected) and passes in 3 of 3 after.

--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -1,5 +1,7 @@
 #include "drivers/edge/byte_stream.h"
 
+#include "core/os/socket_output.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -108,13 +110,13 @@
     try {
         std::size_t sent = 0;
         while (sent < this->output.size()) {
-            const int written = this->socket.sendBytes(
-                    this->output.data() + sent, static_cast<int>(this->output.size() - sent));
-            if (written <= 0) {
+            const std::size_t written = sendAvailable(this->socket, this->output.data() + sent,
+                                                      this->output.size() - sent);
+            if (written == 0) {
                 break;
             }
             this->anyWritten = true;
-            sent += static_cast<std::size_t>(written);
+            sent += written;
         }
         this->output.erase(0, sent);
         this->updateMode();
--- a/drivers/target_connection_driver.cpp
+++ b/drivers/target_connection_driver.cpp
@@ -1,5 +1,7 @@
 #include "drivers/target_connection_driver.h"
 
+#include "core/os/socket_output.h"
+
 #include "core/errors.h"
 #include "drivers/target_codec.h"
 
@@ -82,13 +84,13 @@
 {
     try {
         while (!this->output.empty()) {
-            const int written = this->socket.sendBytes(this->output.data(),
-                                                       static_cast<int>(this->output.size()));
-            if (written <= 0) {
+            const std::size_t written =
+                    sendAvailable(this->socket, this->output.data(), this->output.size());
+            if (written == 0) {
                 break;
             }
             this->anyRequestByteSent = true;
-            this->output.erase(0, static_cast<std::size_t>(written));
+            this->output.erase(0, written);
         }
     } catch (const Poco::Exception &) {
         this->end(ConnectionEnd::Lost);
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -1,5 +1,7 @@
 #include "standins/http_server.h"
 
+#include "core/os/socket_output.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
@@ -142,12 +144,12 @@
     std::size_t sent = 0;
     try {
         while (sent < this->output.size()) {
-            const int left = static_cast<int>(this->output.size() - sent);
-            const int count = this->socket.sendBytes(this->output.data() + sent, left);
-            if (count <= 0) {
+            const std::size_t count = sendAvailable(this->socket, this->output.data() + sent,
+                                                    this->output.size() - sent);
+            if (count == 0) {
                 break;
             }
-            sent += static_cast<std::size_t>(count);
+            sent += count;
         }
     } catch (const Poco::Exception &) {
         this->close();
--- a/tests/drivers_edge/gateway_node_fixture.h
+++ b/tests/drivers_edge/gateway_node_fixture.h
@@ -48,16 +48,18 @@
 class GatewayFixture
 {
 public:
-    /// `limit` is what the targets state in their replies; empty if nothing.
-    explicit GatewayFixture(const std::string &limit = "")
+    /// `limit` is what the targets state in their replies; empty if nothing. `recordCount` is how
+    /// many records of 16 bytes a reply holds, at least two.
+    explicit GatewayFixture(const std::string &limit = "", std::size_t recordCount = 2)
     {
         for (int group = 0; group < 2; ++group) {
             for (int replica = 0; replica < 2; ++replica) {
                 const std::string id = "t" + std::to_string(group) + std::to_string(replica);
-                this->targets.push_back(std::make_unique<PlatformTarget>(
-                        this->loop, id,
-                        std::vector {std::string(16, static_cast<char>('a' + group)),
-                                     std::string(16, static_cast<char>('k' + group))}));
+                std::vector<std::string> records(recordCount,
+                                                 std::string(16, static_cast<char>('a' + group)));
+                records.back() = std::string(16, static_cast<char>('k' + group));
+                this->targets.push_back(
+                        std::make_unique<PlatformTarget>(this->loop, id, std::move(records)));
                 this->targets.back()->setLimit(limit);
                 this->targets.back()->start();
             }
--- a/tests/drivers_edge/raw_caller.h
+++ b/tests/drivers_edge/raw_caller.h
@@ -2,10 +2,11 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <array>
 #include <chrono>
 #include <cstdlib>
-#include <optional>
 #include <string>
+#include <thread>
 
 namespace lagoondeck::edgetest {
 
@@ -28,9 +29,14 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(const std::string &address)
+    /// A caller that reads slowly takes 64 KiB in 10 ms at most.
+    explicit RawCaller(const std::string &address, bool isSlow = false) : isSlow(isSlow)
     {
         try {
+            if (isSlow) {
+                this->socket.init(AF_INET);
+                this->socket.setReceiveBufferSize(bufferBytes);
+            }
             this->socket.connect(Poco::Net::SocketAddress(address));
             this->socket.setReceiveTimeout(Poco::Timespan(10, 0));
             this->connected = true;
@@ -89,6 +95,8 @@
     }
 
 private:
+    static constexpr int bufferBytes = 64 * 1024;
+
     static std::size_t bodySize(const std::string &head)
     {
         const std::size_t at = head.find("Content-Length: ");
@@ -97,11 +105,14 @@
 
     bool readMore()
     {
-        char buffer[4096];
+        if (this->isSlow) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        std::array<char, bufferBytes> buffer {};
         try {
-            const int count = this->socket.receiveBytes(buffer, sizeof buffer);
+            const int count = this->socket.receiveBytes(buffer.data(), bufferBytes);
             if (count > 0) {
-                this->input.append(buffer, static_cast<std::size_t>(count));
+                this->input.append(buffer.data(), static_cast<std::size_t>(count));
             }
             return count > 0;
         } catch (const Poco::Exception &) {
@@ -109,6 +120,7 @@
         }
     }
 
+    bool isSlow;
     Poco::Net::StreamSocket socket;
     std::string input;
     bool connected = false;
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -1,4 +1,5 @@
 #include "gateway_node_fixture.h"
+#include "raw_caller.h"
 
 #include <algorithm>
 #include <string>
@@ -195,3 +196,12 @@
     fixture.thread.join();
     CHECK(fixture.runSucceeded);
 }
+
+// Guards against a full send buffer that is taken for a broken connection.
+TEST_CASE("slow reader: an answer that is longer than all buffers arrives completely")
+{
+    GatewayFixture fixture("", 1024 * 1024);
+    RawCaller caller(fixture.settings.callerAddress, true);
+    const CallerView view = caller.call("/one/x", "long");
+    CHECK(view.status == 200);
+}
