Don't close connections whose answer is still being sent

Callers that read long answers slowly lost the rest of it when the daemon was stopped: kept connections counted as idle 2.6 s after the signal, and answers with Connection: close had one second to get out.

Cause: an answer counted as sent once it was written into the daemon's own output. Now a connection is idle once its output is sent, and the second in which a closing connection is kept begins then. A caller that takes nothing for the idle timeout is given up.

--- a/drivers/edge/byte_stream.h
+++ b/drivers/edge/byte_stream.h
@@ -55,6 +55,8 @@
     bool hasWritten() const { return this->anyWritten; }
     void resetWritten() { this->anyWritten = false; }
     bool hasPendingOutput() const { return !this->output.empty(); }
+    /// Returns how many bytes wait to be sent.
+    std::size_t pendingOutput() const { return this->output.size(); }
     /// Returns true if the peer sent bytes that were not read yet.
     bool hasUnreadInput() const;
     bool hasFailed() const { return this->broken; }
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -146,7 +146,6 @@
 void ServerConnection::closeAfterOutput()
 {
     this->closing = true;
-    this->closingSince = monotonicNow();
     this->inputArrivals.remove(this->input.size());
     this->input.clear();
     this->finishWritingWhenSent();
@@ -155,6 +154,7 @@
 void ServerConnection::finishWritingWhenSent()
 {
     if (!this->stream.hasPendingOutput() && !std::exchange(this->writingFinished, true)) {
+        this->writingFinishedAt = monotonicNow();
         this->stream.finishWriting();
     }
 }
@@ -164,8 +164,12 @@
     // The idle timeout never decreases on an open connection, because the peer may rely on the
     // longer one.
     this->limits.idleTimeout = std::max(this->limits.idleTimeout, currentLimits.idleTimeout);
+    this->checkOutput(now);
+    if (this->closed || this->hasUnsentOutput()) {
+        return;
+    }
     if (this->closing) {
-        if (now - this->closingSince > drainTime) {
+        if (now - this->writingFinishedAt > drainTime) {
             this->close();
         }
     } else if (this->reader.hasStarted()
@@ -176,6 +180,18 @@
     }
 }
 
+void ServerConnection::checkOutput(Instant now)
+{
+    const std::size_t unsent = this->stream.pendingOutput();
+    if (unsent != this->unsentOutput) {
+        this->unsentOutput = unsent;
+        this->unsentSince = now;
+        this->idleSince = now;
+    } else if (unsent > 0 && now - this->unsentSince > this->limits.idleTimeout) {
+        this->close();
+    }
+}
+
 void ServerConnection::closeIfUnused(Instant now)
 {
     const bool isNew = this->requestsRead == 0 && now - this->acceptedAt < firstRequestWait;
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -48,16 +48,16 @@
     bool hasUnreadInput() const { return this->stream.hasUnreadInput(); }
     /// Returns true if an answer was not sent completely.
     bool hasUnsentOutput() const { return this->stream.hasPendingOutput(); }
-    /// Returns true if no request is being read or answered.
+    /// Returns true if no request is being read or answered, and all answers were sent.
     bool isIdle() const
     {
         return !this->answerPending && !this->reader.hasStarted() && this->input.empty()
-                && !this->closing;
+                && !this->closing && !this->hasUnsentOutput();
     }
     /// Returns true if closing the connection now costs the peer neither a request nor an answer.
     bool isQuiet() const
     {
-        return (this->isIdle() || this->closing) && !this->hasUnsentOutput()
+        return (this->isIdle() || (this->closing && !this->hasUnsentOutput()))
                 && !this->hasUnreadInput();
     }
     /// Closes the connection if the peer sends its request too slowly or is idle for too long.
@@ -79,6 +79,8 @@
     /// Closes the connection after the buffered output was sent.
     void closeAfterOutput();
     void finishWritingWhenSent();
+    /// Closes the connection if the peer has stopped reading an answer.
+    void checkOutput(Instant now);
 
     EdgeLoop &loop;
     ByteStream stream;
@@ -103,7 +105,11 @@
     Instant acceptedAt {};
     Instant idleSince {};
     Instant requestStartedAt {};
-    Instant closingSince {};
+    /// How much output waited to be sent at the last check, and since when it has been so much.
+    std::size_t unsentOutput = 0;
+    Instant unsentSince {};
+    /// When the last answer was sent completely.
+    Instant writingFinishedAt {};
 };
 
 } // namespace lagoondeck
--- a/tests/drivers_edge/test_graceful_stop.cpp
+++ b/tests/drivers_edge/test_graceful_stop.cpp
@@ -143,3 +143,30 @@
     std::this_thread::sleep_for(400ms);
     CHECK(caller.call("/one/x", "late").status == 200);
 }
+
+// Guards against answers that wait in the daemon's output and are cut off with their connection.
+TEST_CASE("slow readers: long answers are sent completely although the daemon stops meanwhile")
+{
+    // 16 MiB, more than the operating system buffers.
+    GatewayFixture fixture("", 1024 * 1024);
+    for (const auto &target : fixture.targets) {
+        target->setDelay(150ms);
+    }
+    std::vector<CallerView> views(2);
+    std::thread before([&] {
+        RawCaller caller(fixture.settings.callerAddress, true);
+        views[0] = caller.call("/one/x", "before");
+    });
+    std::this_thread::sleep_for(400ms);
+    std::thread during([&] {
+        RawCaller caller(fixture.settings.callerAddress, true);
+        views[1] = caller.call("/one/x", "during");
+    });
+    std::this_thread::sleep_for(50ms);
+    std::raise(SIGTERM);
+    before.join();
+    during.join();
+    for (const CallerView &view : views) {
+        CHECK(view.status == 200);
+    }
+}
