Serve a caller's next request after its answer was sent

A caller that pipelines requests and reads nothing had all of them served, 42 of 40 with hedges, and their answers kept in memory. Before the first full send buffer broke such a connection, so nothing else bounded it.

Now the next request of a connection is read once the answer before it is sent. What a caller sends ahead is bounded as while a request is served.

--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -47,7 +47,8 @@
         }
         return;
     }
-    if (this->answerPending && this->input.size() > this->limits.bodyBytes + maxPipelinedBytes) {
+    const bool isAnswering = this->answerPending || this->hasUnsentOutput();
+    if (isAnswering && this->input.size() > this->limits.bodyBytes + maxPipelinedBytes) {
         this->close();
         return;
     }
@@ -90,7 +91,8 @@
 
 void ServerConnection::readAvailableRequests()
 {
-    while (!this->answerPending && !this->closing && !this->closed && !this->input.empty()) {
+    while (!this->answerPending && !this->closing && !this->closed && !this->input.empty()
+           && !this->hasUnsentOutput()) {
         if (!this->reader.hasStarted()) {
             this->requestStartedAt = monotonicNow();
             this->requestArrival = this->inputArrivals.first();
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -205,3 +205,28 @@
     const CallerView view = caller.call("/one/x", "long");
     CHECK(view.status == 200);
 }
+
+// Guards against answers that fill the memory because their caller sends requests and reads
+// nothing.
+TEST_CASE("a caller that pipelines requests gets the next answer once it has read the one before")
+{
+    // 1 MiB.
+    GatewayFixture fixture("", 64 * 1024);
+    RawCaller caller(fixture.settings.callerAddress, true);
+    constexpr int requests = 40;
+    std::string bytes;
+    for (int i = 0; i < requests; ++i) {
+        bytes += "GET /one/x HTTP/1.1\r\nHost: h\r\nRequest-Id: b" + std::to_string(i)
+                + "\r\nDeadline-Ms: 6000\r\n\r\n";
+    }
+    REQUIRE(caller.send(bytes));
+    std::this_thread::sleep_for(1s);
+    // What the operating system buffers, and one answer that waits.
+    CHECK(fixture.runs() < requests / 2);
+    for (int i = 0; i < requests; ++i) {
+        CallerView view;
+        caller.receive(view);
+        // The last ones have waited for longer than their time limit.
+        CHECK((view.status == 200 || (i > 0 && view.status == 503)));
+    }
+}
