Accept the connections that wait before a stopping process ends

Callers whose connection was established, but not accepted, got a reset when the process ended.

Cause: the exit was decided by the accepted connections only, and the listener was closed after the last log lines. Now the process goes on while a connection waits, and closes its listener as soon as none does.

Test: "a listener does not stop while a connection waits to be accepted".

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -148,9 +148,11 @@
                 {"failureDomain", this->settings.failureDomain.value},
                 {"version", LAGOONDECK_VERSION}}});
     this->pendingEvents.push_back(GatewayStarted {});
-    while (!this->canExit(monotonicNow())) {
-        this->runIteration(signals, reload);
-    }
+    do {
+        while (!this->canExit(monotonicNow())) {
+            this->runIteration(signals, reload);
+        }
+    } while (!this->stopListening());
     this->logStopped();
     this->jsonLog.flushAll();
     return {};
@@ -262,6 +264,12 @@
     return this->callerListener->size() == 0 && now > *this->stopRequestedAt + balancerReactionTime;
 }
 
+bool GatewayNode::stopListening()
+{
+    return this->callerListener->stopUnlessWaiting()
+            || monotonicNow() >= this->gateway.shutdownSchedule().exitDueAt();
+}
+
 void GatewayNode::applyPendingEvents()
 {
     while (!this->pendingEvents.empty()) {
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -56,6 +56,8 @@
     void checkTimeouts(Instant now);
     void beginStop(Instant now);
     bool canExit(Instant now) const;
+    /// Stops taking connections unless some wait to be accepted and there is time to serve them.
+    bool stopListening();
     /// Logs what the stop leaves unfinished.
     void logStopped();
     void applyPendingEvents();
--- a/drivers/edge/http_listener.cpp
+++ b/drivers/edge/http_listener.cpp
@@ -35,9 +35,25 @@
 
 HttpListener::~HttpListener()
 {
-    if (this->listening) {
+    this->stopListening();
+}
+
+void HttpListener::stopListening()
+{
+    if (std::exchange(this->listening, false)) {
         this->loop.remove(this->socket);
+        this->socket.close();
+    }
+}
+
+bool HttpListener::stopUnlessWaiting()
+{
+    if (this->listening && this->socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+        this->acceptAll();
+        return false;
     }
+    this->stopListening();
+    return true;
 }
 
 leaf::result<void> HttpListener::listen(const std::string &address)
--- a/drivers/edge/http_listener.h
+++ b/drivers/edge/http_listener.h
@@ -28,6 +28,9 @@
 
     /// Fails with CallFailed if the address can't be bound.
     boost::leaf::result<void> listen(const std::string &address);
+    /// Stops listening unless connections wait to be accepted. Accepts these and returns false if
+    /// there are any, because the operating system would reset them.
+    bool stopUnlessWaiting();
     /// Returns the connection with the given id, or nullptr if it has ended.
     ServerConnection *find(std::uint64_t id);
     void checkTimeouts(Instant now);
@@ -40,6 +43,7 @@
 
 private:
     void acceptAll();
+    void stopListening();
 
     EdgeLoop &loop;
     Limits limits;
--- /dev/null
+++ b/tests/drivers_edge/test_http_listener.cpp
@@ -0,0 +1,49 @@
+#include "core/os/clock.h"
+#include "drivers/edge/http_listener.h"
+
+#include "gateway_node_fixture.h"
+#include "raw_caller.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoondeck;
+using namespace lagoondeck::edgetest;
+
+namespace {
+
+/// Answers each request at once.
+ServerConnection::Hooks answeringHooks()
+{
+    ServerConnection::Hooks hooks;
+    hooks.onRequest = [](ServerConnection &connection, const HttpMessage &) {
+        connection.answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", true,
+                          monotonicNow());
+    };
+    hooks.onPeerLeft = [](ServerConnection &) {};
+    hooks.refusal = [](int) { return std::string(); };
+    return hooks;
+}
+
+} // namespace
+
+// Guards against callers whose connection is established, but not accepted, when the process ends.
+TEST_CASE("a listener does not stop while a connection waits to be accepted")
+{
+    const std::string address = freeAddress();
+    EdgeLoop loop;
+    HttpListener listener(
+            loop, [] { return CallerLimits {}; }, answeringHooks());
+    REQUIRE(listener.listen(address));
+    RawCaller caller(address);
+    REQUIRE(caller.isConnected());
+    REQUIRE(caller.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"));
+    CHECK_FALSE(listener.stopUnlessWaiting());
+    for (int i = 0; i < 10; ++i) {
+        loop.poll(10ms);
+    }
+    CallerView view;
+    caller.receive(view);
+    CHECK(view.status == 200);
+    CHECK(listener.stopUnlessWaiting());
+    CHECK_FALSE(RawCaller(address).isConnected());
+}
