Send the last messages to other members before the process ends

An answer to another member's request that was queued just before the process ended could be lost, and that member's caller would get 502 once the silence was noticed. Found by a test; not seen in a fleet.

Cause: the peer thread ended with messages in its queue, and its sockets dropped what was not written (linger 0). Now the queue is sent first, and the sockets linger for 100 ms at most.

Test: "Messages that were queued just before the stop arrive" fails before with messages of 3 MiB (2 of 5 rounds) and passes after; with short ones it passed before too (200 of 200).

--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -45,6 +45,8 @@
 constexpr int listenBacklog = 512;
 /// Limits the messages received per poll, so that a flood of them does not delay sending.
 constexpr int maxReceivedPerPoll = 256;
+/// After stop(), what was queued before may take this long to be sent.
+constexpr int stopLingerMs = 100;
 constexpr const char *wakeAddress = "inproc://wake";
 /// The address at which ZeroMQ requests authentication of a connecting key (ZAP, RFC 27).
 constexpr const char *authenticationAddress = "inproc://zeromq.zap.01";
@@ -172,6 +174,10 @@
         const std::lock_guard lock(this->trafficMutex);
         this->counts.processorTime = threadProcessorTime();
     }
+    this->sendQueued();
+    for (auto &[address, link] : this->links) {
+        link.zmqSocket().set(zmq::sockopt::linger, stopLingerMs);
+    }
     this->links.clear();
     this->router.close();
 }
--- a/drivers/peer_socket.h
+++ b/drivers/peer_socket.h
@@ -39,7 +39,8 @@
 
     /// Binds and starts the thread. Fails with PeerKeyMalformed or PeerBindFailed.
     boost::leaf::result<void> start();
-    /// Ends the thread and closes all sockets. Messages not sent yet are dropped.
+    /// Ends the thread and closes all sockets. Messages to connected peers are still sent for a
+    /// short time, until this object is destroyed.
     void stop();
 
     /// Queues a message for a peer. The address is an IP address and a port.
--- a/tests/drivers_peer/test_peer_socket.cpp
+++ b/tests/drivers_peer/test_peer_socket.cpp
@@ -198,3 +198,24 @@
     CHECK(failureOf(badKey) == 1);
     CHECK(failureOf(second) == 2);
 }
+
+// Guards against the last answers to other members being dropped when the process ends.
+TEST_CASE("Messages that were queued just before the stop arrive")
+{
+    MessageCollector collector;
+    PeerSocket receiver("127.0.0.1:0", "", collector.sink());
+    REQUIRE(canStart(receiver));
+    constexpr std::size_t rounds = 5;
+    for (std::size_t i = 0; i < rounds; ++i) {
+        PeerSocket sender("127.0.0.1:0", "", [](EventBody) {});
+        REQUIRE(canStart(sender));
+        sender.send(receiver.boundAddress(), messageFrom("entry-1"));
+        REQUIRE(collector.waitFor(2 * i + 1));
+        // As long as an answer may be.
+        proto::PeerMessage last = messageFrom("entry-1");
+        last.mutable_delegated_answer()->set_body(std::string(3 * 1024 * 1024, 'x'));
+        sender.send(receiver.boundAddress(), last);
+        sender.stop();
+        CHECK(collector.waitFor(2 * i + 2));
+    }
+}
