Set the signal handlers before anything else

A SIGHUP in the first milliseconds ended the daemon, and a SIGTERM shortly after went through a whole stop though nobody had been served.

Cause: the handlers were set after the settings were read. Now main() sets them first, and a stop that is requested before the daemon listens ends it at once. What is left is the time of the dynamic linker (nearly all of it, by a system call trace), in which a signal can't be handled.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -141,6 +141,10 @@
 
 leaf::result<void> GatewayNode::run(ProcessSignals &signals, const std::function<void()> &reload)
 {
+    if (signals.isStopRequested()) {
+        // No caller could have connected.
+        return {};
+    }
     BOOST_LEAF_CHECK(this->listen());
     this->lastIterationAt = monotonicNow();
     this->log({LogEvent::Started,
--- a/main/lagoondeckd_main.cpp
+++ b/main/lagoondeckd_main.cpp
@@ -89,7 +89,7 @@
 }
 
 leaf::result<int> serveGateway(const Options &options, const nlohmann::json &json,
-                               const char *program)
+                               const char *program, ProcessSignals &signals)
 {
     BOOST_LEAF_AUTO(settings, gatewaySettingsFromJson(json));
     if (options.checkOnly) {
@@ -100,17 +100,16 @@
         settings.seed = std::random_device {}();
     }
     startLog("", program);
-    ProcessSignals signals;
     GatewayNode node(settings);
     BOOST_LEAF_CHECK(node.run(signals, [&] { reloadGatewaySettings(options.settingsFile); }));
     return exitOk;
 }
 
-leaf::result<int> serve(const Options &options, const char *program)
+leaf::result<int> serve(const Options &options, const char *program, ProcessSignals &signals)
 {
     BOOST_LEAF_AUTO(json, readJsonFile(options.settingsFile));
     if (isGatewaySettings(json)) {
-        return serveGateway(options, json, program);
+        return serveGateway(options, json, program, signals);
     }
     BOOST_LEAF_AUTO(settings, readSettingsFile(options.settingsFile));
     if (options.checkOnly) {
@@ -121,7 +120,6 @@
         settings.seed = std::random_device {}();
     }
     startLog(settings.logDirectory, program);
-    const ProcessSignals signals;
     EntryNode node(settings);
     BOOST_LEAF_AUTO(result, node.run([&signals] { return signals.isStopRequested(); }));
     return result == RunResult::Graceful ? exitOk : exitInvariantViolated;
@@ -131,13 +129,15 @@
 
 int main(int argc, char **argv)
 {
+    // Comes first, because a signal may arrive while the settings are read.
+    ProcessSignals signals;
     int exitCode = exitOk;
     const auto options = readOptions(argc, argv, exitCode);
     if (!options) {
         return exitCode;
     }
     return leaf::try_handle_all(
-            [&] { return serve(*options, argv[0]); },
+            [&] { return serve(*options, argv[0], signals); },
             [&](const InvalidInput &invalid) {
                 for (const FieldProblem &problem : invalid.problems) {
                     std::cerr << options->settingsFile << ": " << problem.path << ": "
