Pick the ports of the daemon's test fixture at the same time

Now all sockets are open while the ports are picked, on a loopback address that hardly any other process uses.

--- a/tests/drivers_edge/gateway_node_fixture.h
+++ b/tests/drivers_edge/gateway_node_fixture.h
@@ -5,8 +5,8 @@
 #include "standins/platform_store.h"
 #include "standins/platform_target.h"
 #include "tests/standins/served_loop.h"
+#include "tests/support/free_addresses.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -21,12 +21,6 @@
 
 using namespace std::chrono_literals;
 
-inline std::string freeAddress()
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().toString();
-}
-
 inline const std::string config =
         R"({"version":3,"routes":[{"name":"one","host":"h","prefix":"/one/","route_type":"safe",)"
         R"("timeout_ms":2000,"target_latency_ms":500,"service":"g0","attempts":2},)"
@@ -72,10 +66,11 @@
         }
         this->served.emplace(this->loop);
         this->settings.id = InstanceId("n1");
-        this->settings.callerAddress = freeAddress();
-        this->settings.readyAddress = freeAddress();
-        this->settings.controlAddress = freeAddress();
-        this->settings.peerAddress = freeAddress();
+        const std::vector<std::string> addresses = freeAddresses(4);
+        this->settings.callerAddress = addresses[0];
+        this->settings.readyAddress = addresses[1];
+        this->settings.controlAddress = addresses[2];
+        this->settings.peerAddress = addresses[3];
         this->settings.storeAddress = this->store.boundAddress();
         this->settings.retries = {0.2, 50.0, 10s};
         this->settings.stopGrace = 4s;
--- a/tests/drivers_edge/test_http_listener.cpp
+++ b/tests/drivers_edge/test_http_listener.cpp
@@ -1,8 +1,8 @@
 #include "core/os/clock.h"
 #include "drivers/edge/http_listener.h"
 
-#include "gateway_node_fixture.h"
 #include "raw_caller.h"
+#include "tests/support/free_addresses.h"
 
 #include <catch2/catch.hpp>
 
@@ -29,7 +29,7 @@
 // Guards against callers whose connection is established, but not accepted, when the process ends.
 TEST_CASE("a listener does not stop while a connection waits to be accepted")
 {
-    const std::string address = freeAddress();
+    const std::string address = freeAddresses(1).front();
     EdgeLoop loop;
     HttpListener listener(
             loop, [] { return CallerLimits {}; }, answeringHooks());
@@ -39,7 +39,7 @@
     REQUIRE(caller.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"));
     CHECK_FALSE(listener.stopUnlessWaiting());
     for (int i = 0; i < 10; ++i) {
-        loop.poll(10ms);
+        loop.poll(std::chrono::milliseconds(10));
     }
     CallerView view;
     caller.receive(view);
