Let an instance that starts ask the others what they have learned

Cause: what is learned from targets lives in the process, and members tell of it only when it happens.

Now an instance that starts, or was paused, asks the seeds and three members for requests that may crash targets, limits and leaving targets. It works however the old process ended, and costs a few small messages. A member of an older version ignores the question, and another one is asked.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "core/os/clock.h"
 #include "core/os/process_signals.h"
 #include "drivers/edge/delegation_messages.h"
+#include "drivers/edge/learned_state_messages.h"
 #include "drivers/edge/peer_messages.h"
 #include "drivers/edge/peer_store_update.h"
 #include "drivers/log_writer.h"
@@ -94,6 +95,12 @@
             if (auto loan = readLimitLoan(*received->message)) {
                 this->pendingEvents.push_back(std::move(*loan));
             }
+            if (auto request = readLearnedStateRequest(*received->message)) {
+                this->pendingEvents.push_back(std::move(*request));
+            }
+            if (auto state = readLearnedState(*received->message)) {
+                this->pendingEvents.push_back(std::move(*state));
+            }
             if (auto delegation = readDelegationMessage(*received->message)) {
                 this->pendingEvents.push_back(std::move(*delegation));
             }
@@ -483,6 +490,22 @@
                      writeLimitLoan(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
+void GatewayNode::execute(RequestLearnedState &effect)
+{
+    const auto message =
+            writeLearnedStateRequest(this->settings.id.value, this->settings.peerAddress);
+    for (const std::string &receiver : effect.receivers) {
+        this->peers.send(receiver, message);
+    }
+}
+
+void GatewayNode::execute(SendLearnedState &effect)
+{
+    this->peers.send(
+            effect.receiver,
+            writeLearnedState(effect.state, this->settings.id.value, this->settings.peerAddress));
+}
+
 void GatewayNode::execute(SendInquiry &effect)
 {
     this->peers.send(
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -86,6 +86,8 @@
     void execute(ReportLimits &effect);
     void execute(RequestLimit &effect);
     void execute(LendLimit &effect);
+    void execute(RequestLearnedState &effect);
+    void execute(SendLearnedState &effect);
     void execute(SendInquiry &effect);
     void execute(SendOffer &effect);
     void execute(DelegateRequest &effect);
--- a/drivers/edge/peer_messages.cpp
+++ b/drivers/edge/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/peer_messages.h"
 
+#include "drivers/edge/stated_limit_codec.h"
 #include "logic/gateway/limit_bucket.h"
 #include "logic/gateway/retry_budget.h"
 #include "proto/peer.pb.h"
@@ -95,13 +96,7 @@
     proto::LimitReport &encoded = *message->mutable_limit_report();
     encoded.set_origin(report.origin.value);
     encoded.set_number(report.number);
-    for (const StatedLimit &stated : report.limits) {
-        proto::StatedLimit &row = *encoded.add_limits();
-        row.set_target(stated.target.value);
-        if (stated.perSecond) {
-            row.set_per_second(*stated.perSecond);
-        }
-    }
+    writeStatedLimits(report.limits, *encoded.mutable_limits());
     return message;
 }
 
@@ -111,15 +106,8 @@
         return std::nullopt;
     }
     const proto::LimitReport &encoded = message.limit_report();
-    LimitsReported event {{InstanceId(encoded.origin()), encoded.number(), {}}};
-    for (const proto::StatedLimit &row : encoded.limits()) {
-        if (!row.has_per_second()) {
-            event.report.limits.push_back({TargetId(row.target()), std::nullopt});
-        } else if (isRate(row.per_second())) {
-            event.report.limits.push_back({TargetId(row.target()), row.per_second()});
-        }
-    }
-    return event;
+    return LimitsReported {
+            {InstanceId(encoded.origin()), encoded.number(), readStatedLimits(encoded.limits())}};
 }
 
 std::shared_ptr<const proto::PeerMessage> writeLimitRequest(const RequestLimit &request,
--- /dev/null
+++ b/drivers/edge/stated_limit_codec.cpp
@@ -0,0 +1,32 @@
+#include "drivers/edge/stated_limit_codec.h"
+
+#include <cmath>
+
+namespace lagoondeck {
+
+void writeStatedLimits(const std::vector<StatedLimit> &limits, StatedLimitRows &rows)
+{
+    for (const StatedLimit &stated : limits) {
+        proto::StatedLimit &row = *rows.Add();
+        row.set_target(stated.target.value);
+        if (stated.perSecond) {
+            row.set_per_second(*stated.perSecond);
+        }
+    }
+}
+
+std::vector<StatedLimit> readStatedLimits(const StatedLimitRows &rows)
+{
+    std::vector<StatedLimit> limits;
+    for (const proto::StatedLimit &row : rows) {
+        const double perSecond = row.per_second();
+        if (!row.has_per_second()) {
+            limits.push_back({TargetId(row.target()), std::nullopt});
+        } else if (std::isfinite(perSecond) && perSecond >= 0.0) {
+            limits.push_back({TargetId(row.target()), perSecond});
+        }
+    }
+    return limits;
+}
+
+} // namespace lagoondeck
--- a/logic/gateway/crash_tracker.cpp
+++ b/logic/gateway/crash_tracker.cpp
@@ -1,6 +1,7 @@
 #include "logic/gateway/crash_tracker.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace lagoondeck {
 
@@ -15,13 +16,15 @@
 /// A request without crashes for this long is no longer tracked.
 constexpr Duration suspectLifetime = std::chrono::minutes(30);
 constexpr std::size_t maxSuspects = 4096;
+/// How many of them a member is told.
+constexpr std::size_t maxTold = 256;
 
 } // namespace
 
 std::optional<Instant> CrashTracker::blockedUntil(Fingerprint fingerprint, Instant now) const
 {
     const auto found = this->suspects.find(fingerprint);
-    if (found == this->suspects.end() || found->second.crashes < quarantineThreshold) {
+    if (found == this->suspects.end() || !isQuarantined(found->second)) {
         return std::nullopt;
     }
     const std::uint32_t doublings =
@@ -34,11 +37,52 @@
 {
     this->removeExpired(now);
     Suspect &suspect = this->suspects[fingerprint];
-    const bool wasQuarantined = suspect.crashes >= quarantineThreshold;
+    const bool wasQuarantined = isQuarantined(suspect);
     suspect.crashes += crashes;
     suspect.lastCrashAt = now;
     this->crashHistory.emplace_back(now, fingerprint);
-    return !wasQuarantined && suspect.crashes >= quarantineThreshold;
+    return !wasQuarantined && isQuarantined(suspect);
+}
+
+bool CrashTracker::merge(const SuspectRequest &known, Instant now)
+{
+    this->removeExpired(now);
+    if (known.crashes == 0 || known.age > suspectLifetime) {
+        return false;
+    }
+    const auto [found, isNew] = this->suspects.try_emplace(known.fingerprint);
+    Suspect &suspect = found->second;
+    const bool wasQuarantined = isQuarantined(suspect);
+    const Instant crashedAt = now - known.age;
+    suspect.crashes = std::max(suspect.crashes, known.crashes);
+    if (isNew || crashedAt > suspect.lastCrashAt) {
+        suspect.lastCrashAt = crashedAt;
+        const auto later = std::ranges::upper_bound(this->crashHistory, crashedAt, {},
+                                                    &std::pair<Instant, Fingerprint>::first);
+        this->crashHistory.emplace(later, crashedAt, known.fingerprint);
+    }
+    return !wasQuarantined && isQuarantined(suspect);
+}
+
+std::vector<SuspectRequest> CrashTracker::latestSuspects(Instant now) const
+{
+    std::vector<SuspectRequest> latest;
+    std::unordered_set<Fingerprint> added;
+    for (auto entry = this->crashHistory.rbegin();
+         entry != this->crashHistory.rend() && latest.size() < maxTold; ++entry) {
+        const auto &[at, fingerprint] = *entry;
+        const auto found = this->suspects.find(fingerprint);
+        if (found != this->suspects.end() && found->second.lastCrashAt == at
+            && added.insert(fingerprint).second) {
+            latest.push_back({fingerprint, found->second.crashes, now - at});
+        }
+    }
+    return latest;
+}
+
+bool CrashTracker::isQuarantined(const Suspect &suspect)
+{
+    return suspect.crashes >= quarantineThreshold;
 }
 
 void CrashTracker::retract(Fingerprint fingerprint, std::uint32_t crashes)
--- a/logic/gateway/crash_tracker.h
+++ b/logic/gateway/crash_tracker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace lagoondeck {
 
@@ -27,6 +28,11 @@
     /// Adds crashes of targets that ran the request. Returns true if this puts the request into
     /// quarantine.
     bool add(Fingerprint fingerprint, std::uint32_t crashes, Instant now);
+    /// Adds what a member knows of a request. Returns true if this puts the request into
+    /// quarantine.
+    bool merge(const SuspectRequest &known, Instant now);
+    /// Returns the requests that crashed targets last.
+    std::vector<SuspectRequest> latestSuspects(Instant now) const;
     /// Takes back crashes that turned out to have another cause.
     void retract(Fingerprint fingerprint, std::uint32_t crashes);
     /// Called when a target answered the request without a crash.
@@ -40,6 +46,7 @@
         Instant lastCrashAt {};
     };
 
+    static bool isQuarantined(const Suspect &suspect);
     /// Removes suspects without recent crashes, and the oldest ones while there are too many.
     void removeExpired(Instant now);
 
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -85,6 +85,8 @@
     const ForwarderCounts &counts() const { return this->attemptCounts; }
     /// Called when this instance or a member observed a request that may crash targets.
     void onCrash(const CrashObservation &observation, GatewayContext &context);
+    /// Called when a member tells of a request that crashed targets earlier.
+    void onSuspect(const SuspectRequest &suspect, GatewayContext &context);
     /// Returns the crashes that this instance confirmed since the last call, to be reported to the
     /// other members.
     std::vector<CrashObservation> takeNewCrashes() { return std::exchange(this->newCrashes, {}); }
--- a/logic/gateway/forwarder_quarantine.cpp
+++ b/logic/gateway/forwarder_quarantine.cpp
@@ -25,6 +25,13 @@
                          request.body);
 }
 
+/// `source` is how this instance knows of the crashes.
+void logQuarantine(Fingerprint fingerprint, const std::string &source, GatewayContext &context)
+{
+    context.log(LogEvent::RequestQuarantined,
+                {{"fingerprint", std::to_string(fingerprint.value)}, {"source", source}});
+}
+
 } // namespace
 
 bool Forwarder::refuseQuarantined(ExchangeId id, const ForwardedRequest &request,
@@ -99,8 +106,15 @@
 void Forwarder::onCrash(const CrashObservation &observation, GatewayContext &context)
 {
     if (this->trackedCrashes.add(observation.fingerprint, observation.crashes, context.now)) {
-        context.log(LogEvent::RequestQuarantined,
-                    {{"fingerprint", std::to_string(observation.fingerprint.value)}});
+        logQuarantine(observation.fingerprint,
+                      observation.origin.value.empty() ? "observed" : "reported", context);
+    }
+}
+
+void Forwarder::onSuspect(const SuspectRequest &suspect, GatewayContext &context)
+{
+    if (this->trackedCrashes.merge(suspect, context.now)) {
+        logQuarantine(suspect.fingerprint, "learned", context);
     }
 }
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -53,6 +53,9 @@
     }
     this->storeSync.start(context);
     this->registration.start(context);
+    if (!this->settings.firstStart) {
+        this->learnedState.begin(this->storeSync.seedAddresses(), context);
+    }
 }
 
 void Gateway::on(const RequestArrived &event, GatewayContext &context)
@@ -264,15 +267,25 @@
     this->storeSync.onAnswer(event, context);
     this->registration.onAnswer(event, context);
     this->storeSync.onHistory(event.answer.history, context);
-    this->checkRegistration(context);
-    this->updateInstances(context.now);
+    this->applyStoreState(context);
 }
 
 void Gateway::on(const StoreUpdateReceived &event, GatewayContext &context)
 {
     this->storeSync.onUpdate(event, context);
+    this->applyStoreState(context);
+}
+
+void Gateway::applyStoreState(GatewayContext &context)
+{
     this->checkRegistration(context);
     this->updateInstances(context.now);
+    if (this->storeSync.isReady() && !this->learnedState.isComplete()) {
+        this->learnedState.onMembers(this->storeSync.otherMembers(), context);
+    }
+    if (this->storeSync.isReady()) {
+        this->targets.onLimitsReported(this->learnedState.takeHeldLimits(), context);
+    }
 }
 
 void Gateway::checkRegistration(GatewayContext &context)
@@ -333,13 +346,38 @@
     if (report.origin == this->settings.id || !this->seenReports.add(report.number)) {
         return;
     }
-    this->targets.onLimitsReported(report, context);
+    this->targets.onLimitsReported(report.limits, context);
     std::vector<std::string> receivers = this->storeSync.relayReceivers(report.origin);
     if (!receivers.empty()) {
         context.emit(ReportLimits {std::move(receivers), report});
     }
 }
 
+void Gateway::on(const LearnedStateRequested &event, GatewayContext &context)
+{
+    LearnedState state;
+    state.suspects = this->forwarder.crashTracker().latestSuspects(context.now);
+    state.isComplete = this->learnedState.isComplete();
+    this->targets.describe(state, context.now);
+    context.emit(SendLearnedState {event.sender, std::move(state)});
+}
+
+void Gateway::on(const LearnedStateReceived &event, GatewayContext &context)
+{
+    this->learnedState.onReply(event.sender, event.state);
+    for (const SuspectRequest &suspect : event.state.suspects) {
+        this->forwarder.onSuspect(suspect, context);
+    }
+    for (const LeavingTarget &leaving : event.state.leavingTargets) {
+        this->targets.onLeavingKnown(leaving, context);
+    }
+    if (this->storeSync.isReady()) {
+        this->targets.onLimitsReported(event.state.limits, context);
+    } else {
+        this->learnedState.holdLimits(event.state.limits);
+    }
+}
+
 void Gateway::on(const LimitRequested &event, GatewayContext &context)
 {
     context.emit(LendLimit {
@@ -387,6 +425,7 @@
 {
     this->storeSync.onTimer(context);
     this->registration.onTimer(context);
+    this->learnedState.onTimer(context);
     this->delegator.onTimer(context);
     this->forwarder.onTimer(context);
     this->path.onTimer(context);
@@ -399,6 +438,7 @@
     context.emit(DropIdleConnections {});
     this->forwarder.onPaused(context.now);
     this->storeSync.refresh(context);
+    this->learnedState.begin(this->storeSync.otherMembers(), context);
 }
 
 void Gateway::on(const GatewayStopRequested &, GatewayContext &context)
@@ -416,8 +456,9 @@
 Instant Gateway::nextTimer() const
 {
     return std::min({this->storeSync.nextTimer(), this->registration.nextTimer(),
-                     this->delegator.nextTimer(), this->forwarder.nextTimer(),
-                     this->path.nextTimer(), this->targets.limits().nextTimer()});
+                     this->learnedState.nextTimer(), this->delegator.nextTimer(),
+                     this->forwarder.nextTimer(), this->path.nextTimer(),
+                     this->targets.limits().nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
 #include "logic/gateway/helper_choice.h"
+#include "logic/gateway/learned_state_sync.h"
 #include "logic/gateway/query_rate.h"
 #include "logic/gateway/recent_members.h"
 #include "logic/gateway/registration.h"
@@ -94,6 +95,8 @@
     void on(const LimitsReported &event, GatewayContext &context);
     void on(const LimitRequested &event, GatewayContext &context);
     void on(const LimitLent &event, GatewayContext &context);
+    void on(const LearnedStateRequested &event, GatewayContext &context);
+    void on(const LearnedStateReceived &event, GatewayContext &context);
     void on(const InquiryReceived &event, GatewayContext &context);
     void on(const OfferReceived &event, GatewayContext &context);
     void on(const RequestDelegated &event, GatewayContext &context);
@@ -130,6 +133,8 @@
     void requestBudget(GatewayContext &context);
     /// Registers this instance again if the store has lost its registration.
     void checkRegistration(GatewayContext &context);
+    /// Updates what depends on the members and targets that are known from the store.
+    void applyStoreState(GatewayContext &context);
     /// Updates the instances among which fleet-wide limits are divided.
     void updateInstances(Instant now);
 
@@ -150,6 +155,7 @@
     Instant rankedAt {};
     /// The reports of members that were passed on.
     SeenNumbers seenReports;
+    LearnedStateSync learnedState;
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
     HelperChoice helpers;
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -132,6 +132,21 @@
     LimitLent loan;
 };
 
+/// Asks members what they have learned. The messages may be lost.
+struct RequestLearnedState
+{
+    /// Peer addresses.
+    std::vector<std::string> receivers;
+};
+
+/// Tells a member what this instance has learned.
+struct SendLearnedState
+{
+    /// Peer address.
+    std::string receiver;
+    LearnedState state;
+};
+
 /// Asks a member whether it would coordinate a query. The message may be lost.
 struct SendInquiry
 {
@@ -183,8 +198,9 @@
 using GatewayEffect =
         std::variant<StartAttempt, CloseAttempt, WithdrawUnsentAttempts, ProbePath, AnswerExchange,
                      CallStore, DropIdleConnections, SendStoreUpdate, RequestBudget, LendBudget,
-                     ReportCrash, ReportLimits, RequestLimit, LendLimit, SendInquiry, SendOffer,
-                     DelegateRequest, CancelDelegation, SendReceipt, SendDelegatedAnswer, WriteLog>;
+                     ReportCrash, ReportLimits, RequestLimit, LendLimit, RequestLearnedState,
+                     SendLearnedState, SendInquiry, SendOffer, DelegateRequest, CancelDelegation,
+                     SendReceipt, SendDelegatedAnswer, WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
 /// applied.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -5,6 +5,8 @@
 #include "core/time.h"
 #include "logic/gateway/delegation.h"
 #include "logic/gateway/exchange_id.h"
+#include "logic/gateway/learned_state.h"
+#include "logic/gateway/stated_limit.h"
 #include "logic/gateway/store_call.h"
 #include "logic/quarantine/fingerprint.h"
 
@@ -163,16 +165,6 @@
     CrashObservation observation;
 };
 
-/// The limit that a target states for the requests of the whole fleet.
-struct StatedLimit
-{
-    TargetId target;
-    /// Requests per second; empty if the target states no limit any more.
-    std::optional<double> perSecond;
-
-    bool operator==(const StatedLimit &) const = default;
-};
-
 /// What targets stated to one member. Members pass it on.
 struct LimitReport
 {
@@ -223,6 +215,21 @@
     Duration validFor {};
 };
 
+/// A member that has just started, or was paused, asks what this instance has learned.
+struct LearnedStateRequested
+{
+    /// The member's peer address.
+    std::string sender;
+};
+
+/// A member tells what it has learned, in reply to a request.
+struct LearnedStateReceived
+{
+    /// The member's peer address.
+    std::string sender;
+    LearnedState state;
+};
+
 /// A member asks whether this instance would coordinate a query.
 struct InquiryReceived
 {
@@ -294,8 +301,8 @@
         std::variant<GatewayStarted, RequestArrived, CallerLeft, AnswerWritten, AttemptReplied,
                      AttemptEnded, PathProbed, StoreAnswered, StoreUpdateReceived, BudgetRequested,
                      BudgetLent, CrashReported, LimitsReported, LimitRequested, LimitLent,
-                     InquiryReceived, OfferReceived, RequestDelegated, ReceiptReceived,
-                     DelegatedAnswerReceived, DelegationCancelled, TimerDue, ProcessPaused,
-                     GatewayStopRequested>;
+                     LearnedStateRequested, LearnedStateReceived, InquiryReceived, OfferReceived,
+                     RequestDelegated, ReceiptReceived, DelegatedAnswerReceived,
+                     DelegationCancelled, TimerDue, ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -61,6 +61,8 @@
     /// Returns the peer addresses of the members to which this instance relays what comes from the
     /// given origin.
     std::vector<std::string> relayReceivers(const InstanceId &origin) const;
+    /// Returns the peer addresses of the seeds, which may be outdated.
+    const std::vector<std::string> &seedAddresses() const { return this->seeds; }
     /// Returns the peer addresses of all members except this instance.
     std::vector<std::string> otherMembers() const;
     /// Returns the newest history of the store that this instance has heard of.
--- a/logic/gateway/target_announcements.h
+++ b/logic/gateway/target_announcements.h
@@ -2,9 +2,11 @@
 
 #include "core/target_record.h"
 #include "core/time.h"
+#include "logic/gateway/learned_state.h"
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace lagoondeck {
 
@@ -14,7 +16,9 @@
 {
 public:
     /// Records that a target said that it is leaving.
-    void addLeaving(const TargetRecord &target, Instant now);
+    void addLeaving(const LeavingTarget &target, Instant now);
+    /// Returns the processes that said that they are leaving.
+    std::vector<LeavingTarget> leavingTargets(Instant now) const;
     /// Returns whether this process of the target said that it is leaving.
     bool isLeaving(const TargetRecord &target) const;
 
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -87,6 +87,17 @@
     }
 }
 
+std::vector<StatedLimit> TargetLimits::stated(Instant now) const
+{
+    std::vector<StatedLimit> stated;
+    for (const auto &[target, limit] : this->limits) {
+        if (const auto perSecond = limit.perSecond(now)) {
+            stated.push_back({target, perSecond});
+        }
+    }
+    return stated;
+}
+
 std::vector<StatedLimit> TargetLimits::takeDueReport(Instant now)
 {
     std::vector<StatedLimit> due = this->reports.takeDue(now);
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -63,6 +63,8 @@
                   GatewayContext &context);
     /// Called when a member reports what a target stated to it or to another member.
     void onReported(const StatedLimit &stated, bool isGathered, GatewayContext &context);
+    /// Returns the limits that targets state at present.
+    std::vector<StatedLimit> stated(Instant now) const;
     /// Returns the limits of which the other members must be told now.
     std::vector<StatedLimit> takeDueReport(Instant now);
     /// Returns when takeDueReport() must be called next.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -157,7 +157,7 @@
     if (std::exchange(target.hasAnnouncedLeaving, true)) {
         return;
     }
-    this->announcements.addLeaving(target.record, context.now);
+    this->announcements.addLeaving({target.record.id, target.record.startedAtMs}, context.now);
     this->setUsable(target, false);
     context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
 }
@@ -311,15 +311,33 @@
     return cost;
 }
 
-void TargetRegistry::onLimitsReported(const LimitReport &report, GatewayContext &context)
+void TargetRegistry::onLimitsReported(const std::vector<StatedLimit> &stated,
+                                      GatewayContext &context)
 {
-    for (const StatedLimit &stated : report.limits) {
-        if (const TargetGroup *group = this->groupOf(stated.target)) {
-            this->targetLimits.onReported(stated, group->isGathered, context);
+    for (const StatedLimit &limit : stated) {
+        if (const TargetGroup *group = this->groupOf(limit.target)) {
+            this->targetLimits.onReported(limit, group->isGathered, context);
         }
     }
 }
 
+void TargetRegistry::describe(LearnedState &state, Instant now) const
+{
+    state.leavingTargets = this->announcements.leavingTargets(now);
+    state.limits = this->targetLimits.stated(now);
+}
+
+void TargetRegistry::onLeavingKnown(const LeavingTarget &leaving, GatewayContext &context)
+{
+    const auto found = this->targets.find(leaving.target);
+    if (found == this->targets.end()) {
+        // It may become known later.
+        this->announcements.addLeaving(leaving, context.now);
+    } else if (found->second->record.startedAtMs == leaving.startedAtMs) {
+        this->markLeaving(*found->second, context);
+    }
+}
+
 TargetGroup *TargetRegistry::groupOf(const TargetId &target)
 {
     const auto found = this->targets.find(target);
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -102,7 +102,7 @@
     TargetChoice choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
                         RandomEngine &random);
     /// Called when a member reports limits that targets state.
-    void onLimitsReported(const LimitReport &report, GatewayContext &context);
+    void onLimitsReported(const std::vector<StatedLimit> &stated, GatewayContext &context);
     /// Requests one request at some limited replica of the group from another member.
     void requestLoan(const TargetGroup &group, Instant now, RandomEngine &random);
     /// Lends a member parts of this instance's shares of limits.
@@ -117,6 +117,10 @@
     void onSent(TargetNode &target, TraceKind cause, Instant now);
     /// Applies what a target says of itself in a reply.
     void onReply(TargetNode &target, const ForwardedReply &reply, GatewayContext &context);
+    /// Returns the targets that said that they are leaving, and the limits that targets state.
+    void describe(LearnedState &state, Instant now) const;
+    /// Called when a member knows that a process of a target said that it is leaving.
+    void onLeavingKnown(const LeavingTarget &leaving, GatewayContext &context);
     /// Called when a target told a member that it is leaving, in a reply to a request that the
     /// member served for this instance.
     void onLeavingReported(const TargetId &target, GatewayContext &context);
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -1,3 +1,4 @@
+#include "drivers/edge/learned_state_messages.h"
 #include "drivers/edge/peer_messages.h"
 #include "drivers/edge/peer_store_update.h"
 #include "logic/gateway/limit_bucket.h"
@@ -114,3 +115,58 @@
     CHECK(loan->lent == lent);
     CHECK(loan->validFor == LimitBucket::loanLifetime);
 }
+
+TEST_CASE("learned state is decoded to the values that were encoded")
+{
+    LearnedState state;
+    state.suspects = {{Fingerprint(7), 4, std::chrono::seconds(3)}};
+    state.limits = {{TargetId("t"), 2.5}, {TargetId("u"), std::nullopt}};
+    state.leavingTargets = {{TargetId("v"), 1700000000000}};
+    state.isComplete = false;
+    const auto message = writeLearnedState(state, "a", "127.0.0.1:1");
+    const auto read = readLearnedState(*message);
+    REQUIRE(read);
+    CHECK(read->sender == "127.0.0.1:1");
+    CHECK(read->state.suspects == state.suspects);
+    CHECK(read->state.limits == state.limits);
+    CHECK(read->state.leavingTargets == state.leavingTargets);
+    CHECK_FALSE(read->state.isComplete);
+    CHECK_FALSE(readLearnedStateRequest(*message));
+    CHECK_FALSE(readLimitReport(*message));
+    const auto request = readLearnedStateRequest(*writeLearnedStateRequest("a", "127.0.0.1:1"));
+    REQUIRE(request);
+    CHECK(request->sender == "127.0.0.1:1");
+}
+
+TEST_CASE("impossible values in learned state are limited or left out")
+{
+    proto::PeerMessage message;
+    proto::SuspectRequest &suspect = *message.mutable_learned_state()->add_suspects();
+    suspect.set_crashes(4'000'000'000);
+    suspect.set_age_us(-5);
+    proto::StatedLimit &limit = *message.mutable_learned_state()->add_limits();
+    limit.set_per_second(std::numeric_limits<double>::quiet_NaN());
+    const auto read = readLearnedState(message);
+    REQUIRE(read);
+    CHECK(read->state.isComplete);
+    CHECK(read->state.suspects.at(0).crashes <= 64);
+    CHECK(read->state.suspects[0].age == Duration(0));
+    CHECK(read->state.limits.empty());
+}
+
+// Guards against members of two versions that don't understand each other during an upgrade.
+TEST_CASE("a message that only a newer version knows is read as no message by this one")
+{
+    proto::PeerMessage message;
+    message.set_sender("a");
+    message.set_sender_address("127.0.0.1:1");
+    std::string encoded = message.SerializeAsString();
+    // Field 500 with the bytes "new".
+    encoded += "\xa2\x1f\x03new";
+    proto::PeerMessage parsed;
+    REQUIRE(parsed.ParseFromString(encoded));
+    CHECK_FALSE(readLearnedState(parsed));
+    CHECK_FALSE(readLearnedStateRequest(parsed));
+    CHECK_FALSE(readCrashReport(parsed));
+    CHECK_FALSE(readStoreUpdate(parsed));
+}
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -19,13 +19,23 @@
 public:
     explicit GatewayHarness(RoutingConfig config, std::vector<TargetRecord> targets = {},
                             RetryAllowance retries = {0.2, 60.0, std::chrono::seconds(10)})
-        : gateway(settingsOf(retries))
+        : GatewayHarness(settingsOf(retries), std::move(config), std::move(targets))
+    { }
+
+    GatewayHarness(const GatewaySettings &settings, RoutingConfig config,
+                   std::vector<TargetRecord> targets = {})
+        : GatewayHarness(settings)
     {
-        this->apply(GatewayStarted {});
         this->answerRead(std::move(config), targets);
         this->calls.clear();
     }
 
+    /// A gateway that has not read the store yet.
+    explicit GatewayHarness(const GatewaySettings &settings) : gateway(settings)
+    {
+        this->apply(GatewayStarted {});
+    }
+
     static GatewaySettings settingsOf(RetryAllowance retries)
     {
         GatewaySettings settings;
@@ -72,6 +82,10 @@
                 this->crashReports.push_back(*crash);
             } else if (auto *limitRequest = std::get_if<RequestLimit>(&effect)) {
                 this->limitRequests.push_back(*limitRequest);
+            } else if (auto *request = std::get_if<RequestLearnedState>(&effect)) {
+                this->learnedStateRequests.push_back(*request);
+            } else if (auto *learned = std::get_if<SendLearnedState>(&effect)) {
+                this->learnedStates.push_back(*learned);
             } else if (auto *loan = std::get_if<LendBudget>(&effect)) {
                 this->grantedLoans.push_back(*loan);
             }
@@ -232,6 +246,8 @@
     std::vector<LendBudget> grantedLoans;
     std::vector<ReportCrash> crashReports;
     std::vector<RequestLimit> limitRequests;
+    std::vector<RequestLearnedState> learnedStateRequests;
+    std::vector<SendLearnedState> learnedStates;
     std::vector<WriteLog> logs;
     /// The path of the requests that are sent next.
     CallerPath path;
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -16,6 +16,7 @@
 constexpr double latencySigma = 0.35;
 constexpr double tailProbability = 0.01;
 constexpr double fleetLinkMbps = 100.0;
+constexpr Duration targetRestartTime = std::chrono::seconds(3);
 /// An instance counts as told of a limit this long after its first reply with it.
 constexpr Duration toldDelay = milliseconds(500);
 
@@ -97,6 +98,12 @@
     return settings;
 }
 
+void GatewayFleet::revive(std::size_t instance)
+{
+    this->dead.erase(instance);
+    this->apply(instance, ProcessPaused {std::chrono::seconds(4)});
+}
+
 void GatewayFleet::setLimit(const std::string &target, std::optional<double> perSecond)
 {
     Target &limited = this->targets.at(TargetId(target));
@@ -148,12 +155,23 @@
 }
 
 std::uint64_t GatewayFleet::sendQuery(std::size_t instance, const std::string &prefix)
+{
+    return this->send(instance, prefix, prefix + std::to_string(this->lastQuery + 1));
+}
+
+std::uint64_t GatewayFleet::sendPlainQuery(std::size_t instance, const std::string &path)
+{
+    return this->send(instance, plain, path);
+}
+
+std::uint64_t GatewayFleet::send(std::size_t instance, const std::string &prefix,
+                                 const std::string &path)
 {
     const std::uint64_t number = ++this->lastQuery;
     ++this->queries;
     ForwardedRequest request;
     request.method = "GET";
-    request.path = prefix + std::to_string(number);
+    request.path = path;
     request.host = "h";
     request.requestId = "r" + std::to_string(number);
     this->sentAt[number] = this->now;
@@ -270,12 +288,26 @@
     if (how == PathCut::Reset) {
         std::erase_if(this->connections,
                       [&](const auto &entry) { return entry.first.first == instance; });
-        for (const AttemptId attempt : node.running) {
+        for (const auto &[attempt, target] : node.running) {
             this->endAttempt(instance, attempt, AttemptEndKind::Lost, {});
         }
     }
 }
 
+void GatewayFleet::crash(const TargetId &id)
+{
+    ++this->crashes;
+    this->targets.at(id).awayUntil = this->now + targetRestartTime;
+    std::erase_if(this->connections, [&](const auto &entry) { return entry.first.second == id; });
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        for (const auto &[attempt, target] : this->nodes[i].running) {
+            if (target == id) {
+                this->endAttempt(i, attempt, AttemptEndKind::Lost, milliseconds(1));
+            }
+        }
+    }
+}
+
 void GatewayFleet::endAttempt(std::size_t instance, AttemptId attempt, AttemptEndKind kind,
                               Duration after)
 {
@@ -303,7 +335,7 @@
 {
     Node &node = this->nodes[instance];
     const Target &target = this->targets.at(effect.target);
-    node.running.insert(effect.attempt);
+    node.running.emplace(effect.attempt, effect.target);
     Connection &connection = this->connections[{instance, effect.target}];
     const bool isConnected = this->now - connection.usedAt <= this->plan.idleTime
             && this->now - connection.openedAt <= this->plan.connectionAge;
@@ -319,11 +351,20 @@
     if (node.pathCut == PathCut::Silent) {
         return;
     }
+    if (target.awayUntil > this->now) {
+        node.unsent.insert(effect.attempt);
+        this->endAttempt(instance, effect.attempt, AttemptEndKind::Unreachable, milliseconds(1));
+        return;
+    }
     ++this->attempts;
     this->remoteAttempts += target.record.failureDomain == node.domain ? 0 : 1;
     ++this->runs[{effect.request->requestId, target.record.group.value}];
     this->lastAttemptAt[instance] = this->now;
     const Duration delay = this->delayBetween(node.domain, target.record.failureDomain);
+    if (!this->crashingPrefix.empty() && effect.request->path.starts_with(this->crashingPrefix)) {
+        this->schedule(this->now + delay, [this, id = effect.target] { this->crash(id); });
+        return;
+    }
     std::lognormal_distribution<double> spread(0.0, latencySigma);
     std::bernoulli_distribution inTail(tailProbability);
     const double factor = spread(this->random) * target.slowness
@@ -421,6 +462,21 @@
             this->deliver(instance, receiver,
                           [&](const std::string &) { return LimitsReported {limits->report}; });
         }
+    } else if (const auto *crash = std::get_if<ReportCrash>(&effect)) {
+        for (const std::string &receiver : crash->receivers) {
+            this->deliver(instance, receiver,
+                          [&](const std::string &) { return CrashReported {crash->observation}; });
+        }
+    } else if (const auto *learning = std::get_if<RequestLearnedState>(&effect)) {
+        for (const std::string &receiver : learning->receivers) {
+            this->deliver(instance, receiver, [&](const std::string &sender) {
+                return LearnedStateRequested {sender};
+            });
+        }
+    } else if (const auto *learned = std::get_if<SendLearnedState>(&effect)) {
+        this->deliver(instance, learned->receiver, [&](const std::string &sender) {
+            return LearnedStateReceived {sender, learned->state};
+        });
     } else if (const auto *wish = std::get_if<RequestLimit>(&effect)) {
         this->deliver(instance, wish->receiver, [&](const std::string &sender) {
             return LimitRequested {sender, wish->number, wish->wishes};
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -103,6 +103,13 @@
     static constexpr const char *urgent = "/u/";
     static constexpr const char *plain = "/p/";
 
+    /// From now on queries whose path begins so crash each target that runs them. The target is
+    /// back after a few seconds.
+    void setCrashing(std::string prefix) { this->crashingPrefix = std::move(prefix); }
+    /// Sends a query of the plain route with the given path to an instance. Returns its number.
+    std::uint64_t sendPlainQuery(std::size_t instance, const std::string &path);
+    /// How many targets were crashed.
+    std::size_t crashes = 0;
     /// From now on the target's replies state this limit, or none.
     void setLimit(const std::string &target, std::optional<double> perSecond);
     /// From now on the target takes this many times as long.
@@ -114,6 +121,8 @@
     void restart(std::size_t instance);
     /// From now on the instance neither receives nor sends anything.
     void kill(std::size_t instance) { this->dead.insert(instance); }
+    /// Ends a time in which the instance was stopped, as by SIGSTOP; what was sent to it is lost.
+    void revive(std::size_t instance);
     /// Cuts an instance off from all targets, or ends the cut. Callers, the store and the other
     /// members reach it all the time.
     void cut(std::size_t instance, PathCut how);
@@ -160,8 +169,8 @@
         PathCut pathCut = PathCut::None;
         /// Increases each time that what is under way to or from targets is lost.
         std::uint32_t pathBreaks = 0;
-        /// The attempts that are running.
-        std::set<AttemptId> running;
+        /// The attempts that are running, and their targets.
+        std::map<AttemptId, TargetId> running;
         /// Those of them whose connection is not made yet.
         std::set<AttemptId> unsent;
     };
@@ -171,6 +180,8 @@
         Duration pauseOffset {};
         double slowness = 1.0;
         std::optional<double> limit;
+        /// Until when the target is away after a crash.
+        Instant awayUntil {};
         /// When each instance received a reply with the limit first.
         std::map<std::size_t, Instant> toldAt;
     };
@@ -199,6 +210,9 @@
     /// Lets an attempt end without a reply.
     void endAttempt(std::size_t instance, AttemptId attempt, AttemptEndKind kind, Duration after);
     void recordArrival(std::size_t instance, const TargetId &target);
+    /// Ends all attempts at a target.
+    void crash(const TargetId &target);
+    std::uint64_t send(std::size_t instance, const std::string &prefix, const std::string &path);
     GatewaySettings settingsFor(std::size_t instance) const;
     void answerStore(std::size_t instance, const CallStore &effect);
     Duration delayBetween(const FailureDomain &first, const FailureDomain &second) const;
@@ -211,6 +225,7 @@
     std::map<std::string, std::size_t> indexByAddress;
     std::unordered_map<TargetId, Target> targets;
     std::vector<StoreChange> storeState;
+    std::string crashingPrefix;
     std::set<std::size_t> dead;
     /// Instances that get no queries from callers.
     std::set<std::size_t> excluded;
