Ask members for learned state although the only seed has replied

With one seed, its reply counted as all that can be had before the members were known, and it may have started just now itself. Test: "the reply of the only seed does not keep an instance from asking members" fails before.

--- a/logic/gateway/learned_state_sync.cpp
+++ b/logic/gateway/learned_state_sync.cpp
@@ -43,7 +43,9 @@
     if (state.isComplete) {
         this->replied.insert(member);
     }
-    const std::size_t wanted = std::min(wantedReplies, this->candidates.size());
+    // The seeds may be fewer than the members.
+    const std::size_t wanted =
+            this->membersKnown ? std::min(wantedReplies, this->candidates.size()) : wantedReplies;
     if (this->replied.size() >= wanted) {
         this->nextAskAt = Instant::max();
     }
--- a/tests/logic/gateway/test_learned_state.cpp
+++ b/tests/logic/gateway/test_learned_state.cpp
@@ -190,6 +190,17 @@
     CHECK(harness.learnedStateRequests.size() == requests);
 }
 
+TEST_CASE("the reply of the only seed does not keep an instance from asking members")
+{
+    GatewayHarness harness(restartedSettings());
+    harness.apply(LearnedStateReceived {"10.0.0.9:7000", {}});
+    harness.answerRead(config(), targets());
+    harness.answerWatch({GatewayHarness::memberChange("b", "127.0.0.1:7001"),
+                         GatewayHarness::memberChange("c", "127.0.0.1:7002")});
+    REQUIRE(harness.learnedStateRequests.size() >= 2);
+    CHECK(harness.learnedStateRequests.back().receivers.size() == 2);
+}
+
 // Guards against an instance that stops asking because those that started with it know nothing.
 TEST_CASE("members that are asking themselves are asked again, and so are those that don't reply")
 {
