Record in the store which requests are refused because they crashed targets

Now an instance that observed the crashes writes the quarantine into the store, under a lease that ends with it: two calls for each quarantine. All instances read it with everything else. Members of an older version ignore the keys, and they don't count in the digests that members compare.

--- a/core/store_change.h
+++ b/core/store_change.h
@@ -24,16 +24,28 @@
     bool operator==(const MemberRecord &) const = default;
 };
 
+/// A request that is refused because it crashed targets.
+struct QuarantineRecord
+{
+    /// The fingerprint of the request.
+    std::uint64_t fingerprint = 0;
+    std::uint32_t crashes = 0;
+
+    bool operator==(const QuarantineRecord &) const = default;
+};
+
 /// What a key of the store describes.
 enum class StoreKeyKind {
     Config,
     Target,
     Member,
+    Quarantine,
     Other, ///< A key of another user of the store.
 };
 
 /// The decoded value of a key; std::monostate when the key was removed or its value can't be read.
-using StoreContent = std::variant<std::monostate, RoutingConfigPtr, TargetRecord, MemberRecord>;
+using StoreContent = std::variant<std::monostate, RoutingConfigPtr, TargetRecord, MemberRecord,
+                                  QuarantineRecord>;
 
 /// A write or removal of one key in the store.
 struct StoreChange
@@ -42,7 +54,7 @@
     std::string key;
     /// The encoded value as it was written, for sending it to peers.
     std::shared_ptr<const std::string> encodedValue;
-    /// The id of the target or member.
+    /// The id of the target, member or quarantine.
     std::string id;
     std::uint64_t revision = 0;
     bool removed = false;
--- a/logic/gateway/crash_tracker.cpp
+++ b/logic/gateway/crash_tracker.cpp
@@ -64,6 +64,12 @@
     return !wasQuarantined && isQuarantined(suspect);
 }
 
+std::uint32_t CrashTracker::crashesOf(Fingerprint fingerprint) const
+{
+    const auto found = this->suspects.find(fingerprint);
+    return found == this->suspects.end() ? 0 : found->second.crashes;
+}
+
 std::vector<SuspectRequest> CrashTracker::latestSuspects(Instant now) const
 {
     std::vector<SuspectRequest> latest;
--- a/logic/gateway/crash_tracker.h
+++ b/logic/gateway/crash_tracker.h
@@ -35,8 +35,11 @@
     std::vector<SuspectRequest> latestSuspects(Instant now) const;
     /// Takes back crashes that turned out to have another cause.
     void retract(Fingerprint fingerprint, std::uint32_t crashes);
-    /// Called when a target answered the request without a crash.
-    void clear(Fingerprint fingerprint) { this->suspects.erase(fingerprint); }
+    /// Returns how many targets the request crashed.
+    std::uint32_t crashesOf(Fingerprint fingerprint) const;
+    /// Called when a target answered the request without a crash. Returns true if the request had
+    /// crashed targets before.
+    bool clear(Fingerprint fingerprint) { return this->suspects.erase(fingerprint) > 0; }
     bool empty() const { return this->suspects.empty(); }
 
 private:
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -85,8 +85,16 @@
     const ForwarderCounts &counts() const { return this->attemptCounts; }
     /// Called when this instance or a member observed a request that may crash targets.
     void onCrash(const CrashObservation &observation, GatewayContext &context);
-    /// Called when a member tells of a request that crashed targets earlier.
-    void onSuspect(const SuspectRequest &suspect, GatewayContext &context);
+    /// Called when a member or the store tells of a request that crashed targets earlier. The
+    /// source is logged.
+    void onSuspect(const SuspectRequest &suspect, const std::string &source,
+                   GatewayContext &context);
+    /// Returns the requests that targets answered since the last call, and that had crashed targets
+    /// before.
+    std::vector<Fingerprint> takeClearedSuspects()
+    {
+        return std::exchange(this->clearedSuspects, {});
+    }
     /// Returns the crashes that this instance confirmed since the last call, to be reported to the
     /// other members.
     std::vector<CrashObservation> takeNewCrashes() { return std::exchange(this->newCrashes, {}); }
@@ -259,6 +267,7 @@
     };
     std::vector<UnconfirmedCrash> unconfirmedCrashes;
     std::vector<CrashObservation> newCrashes;
+    std::vector<Fingerprint> clearedSuspects;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
     std::vector<AdmittedRequest> stranded;
     bool silenceCheckScheduled = false;
--- a/logic/gateway/forwarder_quarantine.cpp
+++ b/logic/gateway/forwarder_quarantine.cpp
@@ -63,7 +63,10 @@
         crashes = std::max(crashes, part.lostConnections);
     }
     if (answered && !this->trackedCrashes.empty()) {
-        this->trackedCrashes.clear(fingerprintOf(*exchange.request));
+        const Fingerprint fingerprint = fingerprintOf(*exchange.request);
+        if (this->trackedCrashes.clear(fingerprint)) {
+            this->clearedSuspects.push_back(fingerprint);
+        }
     } else if (!answered && crashes > 0 && this->path.state() != PathState::Down) {
         const CrashObservation observation {
                 fingerprintOf(*exchange.request), crashes, {}, context.random()};
@@ -111,10 +114,11 @@
     }
 }
 
-void Forwarder::onSuspect(const SuspectRequest &suspect, GatewayContext &context)
+void Forwarder::onSuspect(const SuspectRequest &suspect, const std::string &source,
+                          GatewayContext &context)
 {
     if (this->trackedCrashes.merge(suspect, context.now)) {
-        logQuarantine(suspect.fingerprint, "learned", context);
+        logQuarantine(suspect.fingerprint, source, context);
     }
 }
 
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -26,7 +26,7 @@
       storeSync(settings, this->targets), registration(settings),
       forwarder(this->targets, this->path, settings.retries, settings.logSampleOneIn),
       delegator(settings.failureDomain, settings.logSampleOneIn, this->random()),
-      intake(delegationCapacity(settings))
+      intake(delegationCapacity(settings)), quarantineRecorder(settings)
 { }
 
 std::vector<GatewayEffect> Gateway::apply(const GatewayEvent &event, Instant now)
@@ -266,6 +266,7 @@
     }
     this->storeSync.onAnswer(event, context);
     this->registration.onAnswer(event, context);
+    this->quarantineRecorder.onAnswer(event, context);
     this->storeSync.onHistory(event.answer.history, context);
     this->applyStoreState(context);
 }
@@ -279,6 +280,8 @@
 void Gateway::applyStoreState(GatewayContext &context)
 {
     this->checkRegistration(context);
+    this->quarantineRecorder.onHistory(this->storeSync.history(), context);
+    this->applyQuarantines(context);
     this->updateInstances(context.now);
     if (this->storeSync.isReady() && !this->learnedState.isComplete()) {
         this->learnedState.onMembers(this->storeSync.otherMembers(), context);
@@ -323,6 +326,7 @@
         return;
     }
     this->forwarder.onCrash(observation, context);
+    this->recordQuarantine(observation.fingerprint, context);
     std::vector<std::string> receivers = this->storeSync.relayReceivers(observation.origin);
     if (!receivers.empty()) {
         context.emit(ReportCrash {std::move(receivers), observation});
@@ -331,8 +335,13 @@
 
 void Gateway::reportCrashes(GatewayContext &context)
 {
+    for (const Fingerprint fingerprint : this->forwarder.takeClearedSuspects()) {
+        this->quarantineRecorder.onCleared(fingerprint, context);
+    }
     for (CrashObservation &observation : this->forwarder.takeNewCrashes()) {
         observation.origin = this->settings.id;
+        this->quarantineRecorder.onObserved(observation.fingerprint);
+        this->recordQuarantine(observation.fingerprint, context);
         std::vector<std::string> receivers = this->storeSync.relayReceivers(observation.origin);
         if (!receivers.empty()) {
             context.emit(ReportCrash {std::move(receivers), observation});
@@ -340,6 +349,28 @@
     }
 }
 
+void Gateway::recordQuarantine(Fingerprint fingerprint, GatewayContext &context)
+{
+    const CrashTracker &tracker = this->forwarder.crashTracker();
+    if (const auto until = tracker.blockedUntil(fingerprint, context.now)) {
+        this->quarantineRecorder.onQuarantined({fingerprint.value, tracker.crashesOf(fingerprint)},
+                                               *until - context.now, context);
+    }
+}
+
+void Gateway::applyQuarantines(GatewayContext &context)
+{
+    for (const QuarantineRecord &quarantine : this->storeSync.takeQuarantines()) {
+        this->quarantineRecorder.onRecorded(quarantine);
+        const Fingerprint fingerprint(quarantine.fingerprint);
+        // What is known already is not renewed.
+        if (this->forwarder.crashTracker().crashesOf(fingerprint) < quarantine.crashes) {
+            this->forwarder.onSuspect({fingerprint, quarantine.crashes, Duration(0)}, "stored",
+                                      context);
+        }
+    }
+}
+
 void Gateway::on(const LimitsReported &event, GatewayContext &context)
 {
     const LimitReport &report = event.report;
@@ -366,7 +397,7 @@
 {
     this->learnedState.onReply(event.sender, event.state);
     for (const SuspectRequest &suspect : event.state.suspects) {
-        this->forwarder.onSuspect(suspect, context);
+        this->forwarder.onSuspect(suspect, "learned", context);
     }
     for (const LeavingTarget &leaving : event.state.leavingTargets) {
         this->targets.onLeavingKnown(leaving, context);
@@ -426,6 +457,7 @@
     this->storeSync.onTimer(context);
     this->registration.onTimer(context);
     this->learnedState.onTimer(context);
+    this->quarantineRecorder.onTimer(context);
     this->delegator.onTimer(context);
     this->forwarder.onTimer(context);
     this->path.onTimer(context);
@@ -455,10 +487,10 @@
 
 Instant Gateway::nextTimer() const
 {
-    return std::min({this->storeSync.nextTimer(), this->registration.nextTimer(),
-                     this->learnedState.nextTimer(), this->delegator.nextTimer(),
-                     this->forwarder.nextTimer(), this->path.nextTimer(),
-                     this->targets.limits().nextTimer()});
+    return std::min({this->quarantineRecorder.nextTimer(), this->storeSync.nextTimer(),
+                     this->registration.nextTimer(), this->learnedState.nextTimer(),
+                     this->delegator.nextTimer(), this->forwarder.nextTimer(),
+                     this->path.nextTimer(), this->targets.limits().nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "logic/gateway/gateway_events.h"
 #include "logic/gateway/helper_choice.h"
 #include "logic/gateway/learned_state_sync.h"
+#include "logic/gateway/quarantine_recorder.h"
 #include "logic/gateway/query_rate.h"
 #include "logic/gateway/recent_members.h"
 #include "logic/gateway/registration.h"
@@ -124,8 +125,12 @@
     /// Passes on the requests that are not served where they were.
     void passOnRequests(GatewayContext &context);
     IntakeConditions intakeConditions() const;
-    /// Reports requests that may crash targets to other members.
+    /// Reports requests that may crash targets to other members, and records those that are refused
+    /// in the store.
     void reportCrashes(GatewayContext &context);
+    void recordQuarantine(Fingerprint fingerprint, GatewayContext &context);
+    /// Applies the quarantines that the store lists.
+    void applyQuarantines(GatewayContext &context);
     /// Tells other members of limits that targets stated to this instance.
     void reportLimits(GatewayContext &context);
     /// Requests budget loans for the extra arrivals that the event needed and that this instance's
@@ -156,6 +161,7 @@
     /// The reports of members that were passed on.
     SeenNumbers seenReports;
     LearnedStateSync learnedState;
+    QuarantineRecorder quarantineRecorder;
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
     HelperChoice helpers;
--- a/logic/gateway/store_call.h
+++ b/logic/gateway/store_call.h
@@ -50,8 +50,15 @@
     std::uint64_t lease = 0;
 };
 
-using StoreCallBody =
-        std::variant<ReadStore, WatchStore, GrantLease, RenewLease, EndLease, RegisterMember>;
+/// Records under a lease that a request is refused.
+struct RecordQuarantine
+{
+    QuarantineRecord quarantine;
+    std::uint64_t lease = 0;
+};
+
+using StoreCallBody = std::variant<ReadStore, WatchStore, GrantLease, RenewLease, EndLease,
+                                   RegisterMember, RecordQuarantine>;
 
 /// The outcome of a call to the store.
 enum class StoreCallStatus {
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -286,6 +286,12 @@
     case StoreKeyKind::Member:
         this->applyMember(change);
         break;
+    case StoreKeyKind::Quarantine:
+        // A removal says nothing: the store may have lost the key.
+        if (const auto *quarantine = std::get_if<QuarantineRecord>(&change.content)) {
+            this->quarantines.push_back(*quarantine);
+        }
+        break;
     case StoreKeyKind::Other:
         break;
     }
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace lagoondeck {
@@ -68,6 +69,8 @@
     /// Returns the newest history of the store that this instance has heard of.
     std::uint64_t history() const { return this->knownHistory; }
     const StoreHealth &storeHealth() const { return this->health; }
+    /// Returns the quarantines that were read from the store since the last call.
+    std::vector<QuarantineRecord> takeQuarantines() { return std::exchange(this->quarantines, {}); }
     /// Returns when the known state was last confirmed by the store or by a member that had read
     /// the store.
     Instant lastConfirmedAt() const { return this->confirmedAt; }
@@ -185,6 +188,7 @@
     /// older one.
     StoreChange configInForce;
     Instant configRequestAt {};
+    std::vector<QuarantineRecord> quarantines;
     WithdrawnTargets withdrawnTargets;
     /// Targets whose entry is missing in the store, and when they are dropped.
     std::map<TargetId, Instant> missingTargets;
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -206,6 +206,10 @@
 {
     std::uint64_t sum = 1;
     for (const auto &[key, item] : this->knownState) {
+        if (item.kind == StoreKeyKind::Quarantine) {
+            // Members of an older version don't keep these keys.
+            continue;
+        }
         std::string text = key;
         if (const auto *target = std::get_if<TargetRecord>(&item.content)) {
             text += "|" + std::to_string(target->startedAtMs) + "|" + target->group.value + "|"
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -176,6 +176,16 @@
         return change;
     }
 
+    static StoreChange quarantineChange(const QuarantineRecord &quarantine)
+    {
+        StoreChange change;
+        change.kind = StoreKeyKind::Quarantine;
+        change.id = std::to_string(quarantine.fingerprint);
+        change.key = "quarantine/" + change.id;
+        change.content = quarantine;
+        return change;
+    }
+
     static StoreChange removal(const std::string &target)
     {
         StoreChange change;
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -421,6 +421,8 @@
         wait = watch->wait;
     } else if (std::holds_alternative<GrantLease>(effect.call)) {
         answer.lease = instance + 1;
+    } else if (const auto *record = std::get_if<RecordQuarantine>(&effect.call)) {
+        this->storeState.push_back(GatewayHarness::quarantineChange(record->quarantine));
     }
     this->applyAt(this->now + wait, instance, StoreAnswered {effect.operation, std::move(answer)});
 }
--- a/tests/logic/gateway/test_learned_state.cpp
+++ b/tests/logic/gateway/test_learned_state.cpp
@@ -102,6 +102,27 @@
     CHECK(fleet.crashes == before);
 }
 
+// Guards against quarantines that are gone when no instance is left that knows them.
+TEST_CASE(
+        "mass restart: a request that crashes targets stays refused although all instances are new")
+{
+    GatewayFleet fleet(plainFleet());
+    fleet.setCrashing(crashingPath);
+    for (std::size_t i = 0; i < 4; ++i) {
+        sendCrashing(fleet, i);
+    }
+    const std::size_t before = fleet.crashes;
+    REQUIRE(before >= 3);
+    for (std::size_t i = 0; i < 6; ++i) {
+        fleet.restart(i);
+    }
+    fleet.run(milliseconds(300));
+    for (std::size_t i = 0; i < 6; ++i) {
+        sendCrashing(fleet, i);
+    }
+    CHECK(fleet.crashes == before);
+}
+
 TEST_CASE("an instance that was paused learns of requests that crashed targets meanwhile")
 {
     GatewayFleet fleet(plainFleet());
--- a/tests/platform/test_store_value_codec.cpp
+++ b/tests/platform/test_store_value_codec.cpp
@@ -165,3 +165,22 @@
     CHECK(member.peerAddress == "127.0.0.1:7");
     CHECK(member.partsPerSecond == 0);
 }
+
+TEST_CASE("a quarantine is decoded to the value that was encoded")
+{
+    const QuarantineRecord quarantine {18446744073709551615ULL, 5};
+    const StoreChange change = wire::readChange("lagoondeck/quarantine/18446744073709551615",
+                                                wire::writeQuarantine(quarantine), 3);
+    REQUIRE(change.kind == StoreKeyKind::Quarantine);
+    CHECK(std::get<QuarantineRecord>(change.content) == quarantine);
+    for (const auto &[id, text] : {std::pair("12x", R"({"crashes":3})"), std::pair("12", "{}"),
+                                   std::pair("12", R"({"crashes":0})"), std::pair("12", "x")}) {
+        const StoreChange malformed =
+                wire::readChange(std::string("lagoondeck/quarantine/") + id, text, 3);
+        CHECK(std::holds_alternative<std::monostate>(malformed.content));
+        CHECK_FALSE(malformed.problem.empty());
+    }
+    const std::string call = wire::writeStoreCall(RecordQuarantine {quarantine, 9}, "s");
+    CHECK(call.find("lagoondeck/quarantine/18446744073709551615") != std::string::npos);
+    CHECK(call.find("\"lease\":9") != std::string::npos);
+}
