Authenticate callers by the keys of client accounts

A configuration may list client accounts with keys. The key was passed on to targets, and requests with unknown keys ran.

Now a request on a route that is not public needs a key of an account, or is refused with 401 before any work is done. The key is removed from the request; targets and members get the account's name instead. A delegated request carries the account, and its receiver checks that its own configuration has it. The priority of an account replaces that of the route. Without accounts in the configuration nothing changes.

--- a/core/gateway_settings.h
+++ b/core/gateway_settings.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
 {
     InstanceId id;
     FailureDomain failureDomain;
+    /// The region of each failure domain. Empty if it is unknown.
+    std::map<FailureDomain, Region> regions;
     /// IP address and port for callers.
     std::string callerAddress;
     /// IP address and port on which the load balancer checks readiness.
--- a/core/gateway_settings_file.cpp
+++ b/core/gateway_settings_file.cpp
@@ -59,6 +59,26 @@
     }
 }
 
+void readRegions(FieldReader &reader, std::map<FailureDomain, Region> &regions)
+{
+    const nlohmann::json *table = reader.find("regions");
+    if (table == nullptr) {
+        return;
+    }
+    if (!table->is_object()) {
+        reader.addProblem("regions", FieldProblemKind::WrongType,
+                          "expected a region for each failure domain");
+        return;
+    }
+    for (const auto &[domain, region] : table->items()) {
+        if (!region.is_string()) {
+            reader.addProblem("regions", FieldProblemKind::WrongType, "expected names of regions");
+            return;
+        }
+        regions.emplace(domain, region.get<std::string>());
+    }
+}
+
 } // namespace
 
 bool isGatewaySettings(const nlohmann::json &json)
@@ -78,6 +98,7 @@
                         "peerAddress", "storeAddress"});
         reader.read("id", settings.id.value);
         reader.read("failureDomain", settings.failureDomain.value);
+        readRegions(reader, settings.regions);
         readAddress(reader, "callerAddress", settings.callerAddress);
         readAddress(reader, "readyAddress", settings.readyAddress);
         readAddress(reader, "controlAddress", settings.controlAddress);
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -47,6 +47,13 @@
     HeaderFields fields;
     std::string body;
     std::string requestId;
+    /// The fields in which the caller says who it is, as received. They are sent on only if the
+    /// configuration has no client accounts; see AccountGate.
+    HeaderFields identityFields;
+    /// The key from these fields; empty if there is none or not exactly one.
+    std::string accountKey;
+    /// The client account that the request was found to belong to; empty if there is none.
+    std::string account;
     /// How long the caller waits for its answer; empty when the request doesn't say.
     std::optional<Duration> timeLimit;
 };
--- a/core/ids.h
+++ b/core/ids.h
@@ -51,6 +51,8 @@
 using RequestId = StrongId<struct RequestTag, std::string>;
 /// A failure domain's name.
 using FailureDomain = StrongId<struct FailureDomainTag, std::string>;
+/// The name of a region, which holds one or more failure domains.
+using Region = StrongId<struct RegionTag, std::string>;
 
 } // namespace lagoondeck
 
--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/client_account.h"
 #include "core/ids.h"
 #include "core/time.h"
 
@@ -49,6 +50,10 @@
     std::uint32_t topK = 0;
     /// The minimum fraction of the gathered groups, 0 to 1, that an answer must contain.
     double minimumCoverage = 1.0;
+    /// Whether callers need no key although the configuration has client accounts.
+    bool isPublic = false;
+    /// The regions whose targets may serve the requests. Empty if all may.
+    std::vector<Region> allowedRegions;
 
     bool gathers() const { return !this->gather.empty(); }
 };
@@ -64,6 +69,14 @@
     Duration idleTimeout = std::chrono::seconds(15);
 };
 
+/// What a target bears while it is cold, which it is for some time after its start.
+struct ColdLimit
+{
+    Duration warmup {};
+    /// The requests per second that the target takes from all instances together while it is cold.
+    double requestsPerSecond = 0.0;
+};
+
 /// One version of the routing configuration. A request uses the version with which it was admitted
 /// until it ends.
 struct RoutingConfig
@@ -72,6 +85,10 @@
     std::vector<Route> routes;
     /// The number of connections that each target of a group accepts from all instances together.
     std::unordered_map<GroupName, std::uint32_t> connectionCaps;
+    /// The groups whose targets limit their requests while they are cold.
+    std::unordered_map<GroupName, ColdLimit> coldLimits;
+    /// Empty if callers need no keys.
+    std::vector<ClientAccount> accounts;
     CallerLimits limits;
 };
 
--- a/core/store_change.h
+++ b/core/store_change.h
@@ -40,6 +40,7 @@
     Target,
     Member,
     Quarantine,
+    Evacuation, ///< Nothing may be sent to the targets of a failure domain while the key exists.
     Other, ///< A key of another user of the store.
 };
 
@@ -54,7 +55,7 @@
     std::string key;
     /// The encoded value as it was written, for sending it to peers.
     std::shared_ptr<const std::string> encodedValue;
-    /// The id of the target, member or quarantine.
+    /// The id of the target, member or quarantine, or the failure domain that is evacuated.
     std::string id;
     std::uint64_t revision = 0;
     bool removed = false;
--- a/drivers/edge/delegation_messages.cpp
+++ b/drivers/edge/delegation_messages.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/delegation_messages.h"
 
+#include "platform/message_codec.h"
 #include "proto/peer.pb.h"
 
 #include <algorithm>
@@ -85,6 +86,8 @@
     request.path = encoded.path();
     request.body = encoded.body();
     request.fields = decodeFields(encoded.fields());
+    wire::takeIdentity(request);
+    request.account = encoded.account();
     DelegatedRequest query;
     query.number = encoded.number();
     query.request = std::make_shared<const ForwardedRequest>(std::move(request));
@@ -201,6 +204,9 @@
     encoded.set_path(query.request->path);
     encoded.set_body(query.request->body);
     encodeFields(query.request->fields, *encoded.mutable_fields());
+    // A member of a version without accounts sends all fields on.
+    encodeFields(wire::identityToSend(*query.request), *encoded.mutable_fields());
+    encoded.set_account(query.request->account);
     encoded.set_sent_at_us(encodeInstant(query.sentAt));
     encoded.set_objective_left_us(query.objectiveLeft.count());
     encoded.set_time_left_us(query.timeLeft.count());
--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -33,6 +33,8 @@
     /// The configuration that was in force when the request arrived.
     RoutingConfigPtr config;
     const Route *route = nullptr;
+    /// The caller's account in the configuration, or null if it has none.
+    const ClientAccount *account = nullptr;
     /// How many more urgent priorities have routes to the same groups.
     std::uint32_t urgencyRank = 0;
     Instant arrivedAt {};
--- a/logic/gateway/delegation.h
+++ b/logic/gateway/delegation.h
@@ -18,7 +18,7 @@
     Accepted,    ///< It does, or would do so.
     Busy,        ///< It has no capacity left.
     Leaving,     ///< It is stopping.
-    Outdated,    ///< Its configuration is older or does not have the route.
+    Outdated,    ///< Its configuration is older, or has not the route or the client account.
     Expired,     ///< The request was sent too long ago.
     Unreachable, ///< It does not reach the targets itself.
 };
--- a/logic/gateway/delegation_intake.cpp
+++ b/logic/gateway/delegation_intake.cpp
@@ -1,5 +1,6 @@
 #include "logic/gateway/delegation_intake.h"
 
+#include "logic/accounts/account_gate.h"
 #include "logic/gateway/forwarding_constants.h"
 
 #include <algorithm>
@@ -61,9 +62,13 @@
     const DelegatedRequest &query = event.query;
     DelegationState state = this->stateFor(query.minConfigVersion, conditions, context.now);
     const Route *route = nullptr;
+    std::optional<IdentifiedRequest> identified;
     if (state == DelegationState::Accepted) {
         route = conditions.routes->find(query.request->host, query.request->path);
-        if (route == nullptr) {
+        if (route != nullptr) {
+            identified = identifyDelegated(query.request, *route, conditions.routes->accounts());
+        }
+        if (!identified) {
             state = DelegationState::Outdated;
         } else if (context.now - query.sentAt > forwarding::maxTransitTime
                    || query.sentAt - context.now > maxClockLead) {
@@ -78,10 +83,11 @@
     this->availableParts -= route->gathers() ? static_cast<double>(route->gather.size()) : 1.0;
     AdmittedRequest request;
     request.id = ExchangeId(firstExchangeId + ++this->taken);
-    request.request = query.request;
+    request.request = identified->request;
+    request.account = identified->account;
     request.config = conditions.routes->config();
     request.route = route;
-    request.urgencyRank = conditions.routes->urgencyRank(*route);
+    request.urgencyRank = conditions.routes->urgencyRank(*route, request.account);
     request.arrivedAt = query.sentAt;
     request.objectiveAt = query.sentAt + query.objectiveLeft;
     request.lateAt = request.objectiveAt;
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -34,6 +34,10 @@
         return "parts-given-up";
     case EndReason::NoRoute:
         return "no-route";
+    case EndReason::UnknownKey:
+        return "unknown-key";
+    case EndReason::AccountCapReached:
+        return "account-cap-reached";
     case EndReason::NoConfiguration:
         return "no-configuration";
     case EndReason::NoTarget:
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -24,6 +24,8 @@
     CoverageReached,  ///< The minimum coverage was reached after the objective.
     PartsAbandoned,   ///< All missing parts were abandoned.
     NoRoute,
+    UnknownKey,        ///< The request has no key of a client account.
+    AccountCapReached, ///< The account has used what it may use in the whole fleet.
     NoConfiguration,
     NoTarget,       ///< No replica accepted the request.
     NoPath,         ///< This instance reaches no target, and no member took the request.
--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -29,6 +29,9 @@
                       std::vector<LogField> &fields)
 {
     fields.push_back({"route", end.route});
+    if (request.account != nullptr) {
+        fields.push_back({"account", request.account->name});
+    }
     fields.push_back(
             numberField("configVersion", static_cast<std::int64_t>(request.config->version)));
     fields.push_back(numberField("beliefAgeMs", toMilliseconds(request.storeDataAge)));
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "logic/gateway/forwarder.h"
 
+#include "logic/accounts/account_gate.h"
 #include "logic/gateway/exchange_log.h"
 #include "logic/gateway/forwarding_constants.h"
 
@@ -9,6 +10,7 @@
 
 namespace {
 
+constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 /// The assumed round trip to a caller if it is unknown.
 constexpr Duration defaultCallerRoundTrip = std::chrono::milliseconds(5);
@@ -71,6 +73,17 @@
         context.emit(AnswerExchange {event.exchange, std::move(reply), std::move(end)});
         return std::nullopt;
     }
+    const std::optional<IdentifiedRequest> identified =
+            identify(event.request, *route, routes.accounts());
+    if (!identified) {
+        CallerReply reply;
+        reply.status = statusUnauthorized;
+        reply.detail = "not run: the request has no key of a client account";
+        ExchangeEnd end {route->name, ExchangeOutcome::Refused, EndReason::UnknownKey};
+        logExchangeEnd(*event.request, end, nullptr, this->sampleOneIn, context);
+        context.emit(AnswerExchange {event.exchange, std::move(reply), std::move(end)});
+        return std::nullopt;
+    }
     if (this->refuseQuarantined(event.exchange, *event.request, context)) {
         return std::nullopt;
     }
@@ -86,14 +99,15 @@
     const Duration maxMargin = route->objective / maxAnswerMarginDivisor;
     AdmittedRequest request;
     request.id = event.exchange;
-    request.request = event.request;
+    request.request = identified->request;
     request.config = routes.config();
     request.route = route;
+    request.account = identified->account;
     request.arrivedAt = context.now;
     request.objectiveAt = context.now + route->objective - std::min(margin, maxMargin);
     request.lateAt = context.now + route->objective - std::min(networkTime, maxMargin);
     request.deadlineAt = deadlineAt;
-    request.urgencyRank = routes.urgencyRank(*route);
+    request.urgencyRank = routes.urgencyRank(*route, request.account);
     request.storeDataAge = storeDataAge;
     return request;
 }
--- a/logic/gateway/route_table.cpp
+++ b/logic/gateway/route_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace lagoondeck {
@@ -20,7 +19,8 @@
 
 } // namespace
 
-RouteTable::RouteTable(RoutingConfigPtr config) : routingConfig(std::move(config))
+RouteTable::RouteTable(RoutingConfigPtr config)
+    : routingConfig(std::move(config)), accountDirectory(this->routingConfig->accounts)
 {
     for (const Route &route : this->routingConfig->routes) {
         this->routesByHost[route.host].push_back(&route);
@@ -34,23 +34,41 @@
 
 void RouteTable::rankByUrgency()
 {
+    // An account may send requests on any route.
+    std::set<std::uint32_t> accountPriorities;
+    for (const ClientAccount &account : this->routingConfig->accounts) {
+        if (account.priority) {
+            accountPriorities.insert(*account.priority);
+        }
+    }
     std::unordered_map<GroupName, std::set<std::uint32_t>> prioritiesByGroup;
     for (const Route &route : this->routingConfig->routes) {
         for (const GroupName &group : groupsOf(route)) {
             prioritiesByGroup[group].insert(route.priority);
+            prioritiesByGroup[group].insert(accountPriorities.begin(), accountPriorities.end());
         }
     }
     for (const Route &route : this->routingConfig->routes) {
-        std::uint32_t &rank = this->urgencyRanks[&route];
-        for (const GroupName &group : groupsOf(route)) {
-            const std::set<std::uint32_t> &priorities = prioritiesByGroup[group];
-            const auto moreUrgent =
-                    std::distance(priorities.begin(), priorities.find(route.priority));
-            rank = std::max(rank, static_cast<std::uint32_t>(moreUrgent));
+        std::set<std::uint32_t> possible = accountPriorities;
+        possible.insert(route.priority);
+        for (const std::uint32_t priority : possible) {
+            std::uint32_t &rank = this->urgencyRanks[&route][priority];
+            for (const GroupName &group : groupsOf(route)) {
+                const std::set<std::uint32_t> &priorities = prioritiesByGroup[group];
+                const auto moreUrgent =
+                        std::distance(priorities.begin(), priorities.find(priority));
+                rank = std::max(rank, static_cast<std::uint32_t>(moreUrgent));
+            }
         }
     }
 }
 
+std::uint32_t RouteTable::urgencyRank(const Route &route, const ClientAccount *account) const
+{
+    const bool hasOwnPriority = account != nullptr && account->priority.has_value();
+    return this->urgencyRanks.at(&route).at(hasOwnPriority ? *account->priority : route.priority);
+}
+
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
 {
     const auto found = this->routesByHost.find(host);
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -292,6 +292,7 @@
             this->quarantines.push_back(*quarantine);
         }
         break;
+    case StoreKeyKind::Evacuation:
     case StoreKeyKind::Other:
         break;
     }
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -206,7 +206,7 @@
 {
     std::uint64_t sum = 1;
     for (const auto &[key, item] : this->knownState) {
-        if (item.kind == StoreKeyKind::Quarantine) {
+        if (item.kind == StoreKeyKind::Quarantine || item.kind == StoreKeyKind::Evacuation) {
             // Members of an older version don't keep these keys.
             continue;
         }
