Count bytes by purpose and by whether they cross failure domains

Nothing told what the traffic between failure domains consists of. The new metric lagoondeck_traffic_bytes_total tells it for requests to and replies from targets and for messages to members.

--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -37,7 +37,8 @@
     route.partsAnswered += end.partsAnswered;
 }
 
-std::string GatewayMetrics::page(const GatewayStatus &status, const EdgeCounts &counts) const
+std::string GatewayMetrics::page(const GatewayStatus &status, const EdgeCounts &counts,
+                                 const DomainTraffic &traffic) const
 {
     ExpositionWriter writer;
     writer.begin("lagoondeck_requests_total", MetricKind::Counter,
@@ -149,6 +150,15 @@
                  "Connections made to targets.", counts.connectionsOpened);
     writeCounter(writer, "lagoondeck_target_requests_total", "Requests sent to targets.",
                  counts.requestsSent);
+    writer.begin("lagoondeck_traffic_bytes_total", MetricKind::Counter,
+                 "Bytes exchanged with targets and sent to members, by what they are for and by "
+                 "whether they cross failure domains.");
+    for (std::size_t i = 0; i < trafficKindCount; ++i) {
+        const auto kind = static_cast<TrafficKind>(i);
+        const DomainTraffic::Count &count = traffic.count(kind);
+        writer.sample({{"kind", toString(kind)}, {"domain", "own"}}, count.inside);
+        writer.sample({{"kind", toString(kind)}, {"domain", "other"}}, count.across);
+    }
     writeCounter(writer, "lagoondeck_log_lines_dropped_total", "Log lines that were dropped.",
                  counts.logLinesDropped);
     return writer.text();
--- a/drivers/edge/gateway_metrics.h
+++ b/drivers/edge/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/duration_histogram.h"
+#include "drivers/edge/domain_traffic.h"
 #include "logic/gateway/exchange_end.h"
 #include "logic/gateway/gateway.h"
 
@@ -33,7 +34,8 @@
     /// Records the time that one iteration of the event loop took, without waiting for events.
     void recordIteration(Duration time) { this->iterationTimes.add(time); }
     /// Returns the metrics page in the Prometheus text exposition format.
-    std::string page(const GatewayStatus &status, const EdgeCounts &counts) const;
+    std::string page(const GatewayStatus &status, const EdgeCounts &counts,
+                     const DomainTraffic &traffic) const;
 
 private:
     static constexpr std::size_t outcomeCount = 6;
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -8,6 +8,7 @@
 #include "drivers/edge/peer_store_update.h"
 #include "drivers/log_writer.h"
 #include "platform/message_codec.h"
+#include "proto/peer.pb.h"
 
 #include <unistd.h>
 
@@ -57,7 +58,8 @@
               [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); },
               [this](const TargetId &target, Duration delay) {
                   this->onRequestWritten(target, delay);
-              }),
+              },
+              this->traffic),
       store(this->loop, this->settings.storeAddress,
             [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); }),
       peers(
@@ -378,7 +380,8 @@
     if (message.target == "/status") {
         text = this->statusJson();
     } else if (message.target == "/metrics") {
-        text = this->metrics.page(this->gateway.status(monotonicNow()), this->edgeCounts());
+        text = this->metrics.page(this->gateway.status(monotonicNow()), this->edgeCounts(),
+                                  this->traffic);
     } else {
         status = statusNotFound;
     }
@@ -386,6 +389,23 @@
                       !message.keepsConnection, monotonicNow());
 }
 
+void GatewayNode::sendToMember(const std::string &address,
+                               const std::shared_ptr<const proto::PeerMessage> &message)
+{
+    if (this->gateway.memberRevision() != this->memberDomainsRevision) {
+        this->memberDomainsRevision = this->gateway.memberRevision();
+        this->memberDomains.clear();
+        for (const auto &[id, member] : this->gateway.members()) {
+            this->memberDomains.emplace(member.peerAddress, member.failureDomain);
+        }
+    }
+    const auto domain = this->memberDomains.find(address);
+    const bool crossesDomains =
+            domain != this->memberDomains.end() && domain->second != this->settings.failureDomain;
+    this->traffic.add(trafficKindOf(*message), crossesDomains, message->ByteSizeLong());
+    this->peers.send(address, message);
+}
+
 void GatewayNode::execute(StartAttempt &effect)
 {
     this->targets.startAttempt(effect, monotonicNow());
@@ -442,21 +462,22 @@
     const auto message =
             writeStoreUpdate(*effect.update, this->settings.id.value, this->settings.peerAddress);
     for (const std::string &receiver : effect.receivers) {
-        this->peers.send(receiver, message);
+        this->sendToMember(receiver, message);
     }
 }
 
 void GatewayNode::execute(RequestBudget &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeBudgetRequest(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(LendBudget &effect)
 {
-    this->peers.send(effect.receiver,
-                     writeBudgetLoan(effect, this->settings.id.value, this->settings.peerAddress));
+    this->sendToMember(
+            effect.receiver,
+            writeBudgetLoan(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(ReportCrash &effect)
@@ -464,7 +485,7 @@
     const auto message =
             writeCrashReport(effect, this->settings.id.value, this->settings.peerAddress);
     for (const std::string &receiver : effect.receivers) {
-        this->peers.send(receiver, message);
+        this->sendToMember(receiver, message);
     }
 }
 
@@ -473,21 +494,21 @@
     const auto message =
             writeLimitReport(effect.report, this->settings.id.value, this->settings.peerAddress);
     for (const std::string &receiver : effect.receivers) {
-        this->peers.send(receiver, message);
+        this->sendToMember(receiver, message);
     }
 }
 
 void GatewayNode::execute(RequestLimit &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeLimitRequest(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(LendLimit &effect)
 {
-    this->peers.send(effect.receiver,
-                     writeLimitLoan(effect, this->settings.id.value, this->settings.peerAddress));
+    this->sendToMember(effect.receiver,
+                       writeLimitLoan(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(RequestLearnedState &effect)
@@ -495,56 +516,57 @@
     const auto message =
             writeLearnedStateRequest(this->settings.id.value, this->settings.peerAddress);
     for (const std::string &receiver : effect.receivers) {
-        this->peers.send(receiver, message);
+        this->sendToMember(receiver, message);
     }
 }
 
 void GatewayNode::execute(SendLearnedState &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeLearnedState(effect.state, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(SendInquiry &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeInquiry(effect.inquiry, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(SendOffer &effect)
 {
-    this->peers.send(effect.receiver,
-                     writeOffer(effect.offer, this->settings.id.value, this->settings.peerAddress));
+    this->sendToMember(
+            effect.receiver,
+            writeOffer(effect.offer, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(DelegateRequest &effect)
 {
-    this->peers.send(effect.receiver,
-                     writeDelegatedRequest(effect.query, this->settings.id.value,
-                                           this->settings.peerAddress));
+    this->sendToMember(effect.receiver,
+                       writeDelegatedRequest(effect.query, this->settings.id.value,
+                                             this->settings.peerAddress));
 }
 
 void GatewayNode::execute(CancelDelegation &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeCancellation(effect, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(SendReceipt &effect)
 {
-    this->peers.send(
+    this->sendToMember(
             effect.receiver,
             writeReceipt(effect.receipt, this->settings.id.value, this->settings.peerAddress));
 }
 
 void GatewayNode::execute(SendDelegatedAnswer &effect)
 {
-    this->peers.send(effect.receiver,
-                     writeDelegatedAnswer(effect.answer, this->settings.id.value,
-                                          this->settings.peerAddress));
+    this->sendToMember(effect.receiver,
+                       writeDelegatedAnswer(effect.answer, this->settings.id.value,
+                                            this->settings.peerAddress));
     this->pendingEvents.push_back(AnswerWritten {monotonicNow() - this->appliedAt});
 }
 
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -71,6 +71,8 @@
     EdgeCounts edgeCounts() const;
     std::string statusJson() const;
     void processPeerMessages();
+    void sendToMember(const std::string &address,
+                      const std::shared_ptr<const proto::PeerMessage> &message);
 
     void execute(StartAttempt &effect);
     void execute(CloseAttempt &effect);
@@ -104,6 +106,10 @@
     std::deque<GatewayEvent> pendingEvents;
     /// When the latest event was applied.
     Instant appliedAt {};
+    DomainTraffic traffic;
+    /// The failure domains of the members by peer address, as of a revision of the members.
+    std::unordered_map<std::string, FailureDomain> memberDomains;
+    std::uint64_t memberDomainsRevision = 0;
     TargetLinks targets;
     StoreLink store;
     Inbox inbox;
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -41,10 +41,22 @@
     return target.value + "@" + address;
 }
 
+/// Returns the number of bytes of a message without its framing.
+std::size_t sizeOf(const HttpMessage &message)
+{
+    constexpr std::size_t fieldFraming = 4; // ": " and the line break
+    std::size_t size = message.body.size();
+    for (const auto &[name, value] : message.fields) {
+        size += name.size() + value.size() + fieldFraming;
+    }
+    return size;
+}
+
 } // namespace
 
-TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten)
-    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten)), replyBytes(maxReplyBytes)
+TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten, DomainTraffic &traffic)
+    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten)), traffic(traffic),
+      replyBytes(maxReplyBytes)
 {
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
@@ -119,6 +131,7 @@
     Entry &entry = this->links.at(link->id());
     entry.attempt = effect.attempt;
     entry.request = effect.request;
+    entry.crossesDomains = effect.crossesDomains;
     this->linkByAttempt[effect.attempt] = link->id();
     ++this->sentCount;
     if (isNew) {
@@ -127,11 +140,14 @@
     if (!link->hasEnded()) {
         link->send(
                 [this, request = effect.request, target = effect.target,
-                 deadlineAt = effect.deadlineAt, startedAt = now] {
+                 deadlineAt = effect.deadlineAt, startedAt = now,
+                 crossesDomains = effect.crossesDomains] {
                     const Instant writtenAt = monotonicNow();
                     this->onWritten(target, writtenAt - startedAt);
-                    return wire::writeTargetRequest(*request, target.value,
-                                                    std::max(deadlineAt - writtenAt, minTimeLimit));
+                    std::string bytes = wire::writeTargetRequest(
+                            *request, target.value, std::max(deadlineAt - writtenAt, minTimeLimit));
+                    this->traffic.add(TrafficKind::TargetRequests, crossesDomains, bytes.size());
+                    return bytes;
                 },
                 effect.request->method == "HEAD");
     }
@@ -140,6 +156,7 @@
 bool TargetLinks::onReply(ClientLink &link, HttpMessage message)
 {
     Entry &entry = this->links.at(link.id());
+    this->traffic.add(TrafficKind::TargetReplies, entry.crossesDomains, sizeOf(message));
     const Duration idleTime = wire::readIdleTime(message.fields).value_or(defaultIdleTime);
     auto reply = std::make_shared<ForwardedReply>(
             wire::readTargetReply(std::move(message), entry.request->requestId));
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "drivers/edge/client_link.h"
+#include "drivers/edge/domain_traffic.h"
 #include "logic/gateway/connect_time.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
@@ -24,7 +25,7 @@
     /// Called when a request was written, with the time since its attempt was started.
     using WriteObserver = std::function<void(const TargetId &, Duration)>;
 
-    TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten);
+    TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten, DomainTraffic &traffic);
     ~TargetLinks();
 
     void startAttempt(const StartAttempt &effect, Instant now);
@@ -51,6 +52,7 @@
         AttemptId attempt;
         std::shared_ptr<const ForwardedRequest> request;
         Instant openedAt {};
+        bool crossesDomains = false;
         /// Whether no reply has been read on the connection.
         bool isNew = true;
         /// The probe for which the connection is made; 0 if there is none.
@@ -67,6 +69,7 @@
     EdgeLoop &loop;
     Sink sink;
     WriteObserver onWritten;
+    DomainTraffic &traffic;
     ClientLink::Hooks hooks;
     ByteBudget replyBytes;
     ConnectTime connectTime;
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -202,7 +202,8 @@
             ? this->hedgeTimeFor(exchange, context.now)
             : Instant::max();
     context.emit(StartAttempt {id, target.record.id, target.record.address, exchange.request,
-                               exchange.deadlineAt - forwarding::replyTransfer});
+                               exchange.deadlineAt - forwarding::replyTransfer,
+                               this->targets.isRemote(target)});
 }
 
 void Forwarder::hedge(Exchange &exchange, std::size_t index, GatewayContext &context)
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -21,6 +21,7 @@
 
 #include <array>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -79,6 +80,9 @@
     /// Returns what callers may send: the defaults until a configuration is known.
     CallerLimits limits() const;
     GatewayStatus status(Instant now) const;
+    /// The registered members by id, and a number that increases whenever they change.
+    const std::map<std::string, MemberRecord> &members() const { return this->storeSync.members(); }
+    std::uint64_t memberRevision() const { return this->storeSync.memberRevision(); }
 
 private:
     void on(const GatewayStarted &event, GatewayContext &context);
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -25,6 +25,8 @@
     /// When the target must have answered. The driver tells the target how much of this time is
     /// left when it writes the request.
     Instant deadlineAt {};
+    /// Whether the target is in another failure domain than this instance.
+    bool crossesDomains = false;
 };
 
 /// Closes the connection of an attempt, so that its target drops the request.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -296,9 +296,9 @@
 {
     const double queue = 1.0 + static_cast<double>(target.inFlight) / target.record.slots;
     double slowness = currentSlowness(target, now)
-            * (target.record.failureDomain == this->failureDomain ? 1.0
-                       : this->isCoordinator                      ? coordinatorRemoteCostFactor
-                                                                  : remoteCostFactor);
+            * (!this->isRemote(target)       ? 1.0
+                       : this->isCoordinator ? coordinatorRemoteCostFactor
+                                             : remoteCostFactor);
     if (now < target.warmupUntil) {
         slowness = std::max(slowness, minWarmupSlowness);
     }
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -86,6 +86,11 @@
     void setConfig(const RoutingConfig &config);
     /// Sets this instance's failure domain. Targets in other domains cost more.
     void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
+    /// Returns true if the target is in another failure domain than this instance.
+    bool isRemote(const TargetNode &target) const
+    {
+        return target.record.failureDomain != this->failureDomain;
+    }
     /// Sets how many entry instances share the targets' connections.
     void setInstanceCount(std::size_t count) { this->instances = count; }
     /// Sets the fleet's coordinators and whether this instance is one of them. There are none if
--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -25,7 +25,8 @@
         : listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
           links(
                   this->loop, [this](GatewayEvent event) { this->events.push_back(event); },
-                  [this](const TargetId &, Duration delay) { this->writeDelays.push_back(delay); })
+                  [this](const TargetId &, Duration delay) { this->writeDelays.push_back(delay); },
+                  this->traffic)
     { }
 
     void startAttempt(std::uint64_t id, Instant deadlineAt)
@@ -76,6 +77,7 @@
     EdgeLoop loop;
     std::vector<GatewayEvent> events;
     std::vector<Duration> writeDelays;
+    DomainTraffic traffic;
     TargetLinks links;
 };
 
