Send members only the parts of the state that they don't have

Now a request carries hashes of 64 parts of the state, and the reply only the parts that differ, and the configuration only if it is newer. An update goes to three members of each other failure domain, which pass it on inside. Members of an older version send and get the whole state as before.

--- a/drivers/edge/peer_store_update.cpp
+++ b/drivers/edge/peer_store_update.cpp
@@ -22,6 +22,10 @@
     encodedUpdate.set_history(update.history);
     encodedUpdate.set_config_version(update.configVersion);
     encodedUpdate.set_grace_us(update.removalGrace.count());
+    encodedUpdate.mutable_bucket_digests()->Add(update.bucketDigests.begin(),
+                                                update.bucketDigests.end());
+    encodedUpdate.set_is_partial(update.isPartialState);
+    encodedUpdate.mutable_buckets()->Add(update.buckets.begin(), update.buckets.end());
     for (const StoreChange &change : update.changes) {
         proto::WorldItem &item = *encodedUpdate.add_items();
         item.set_key(change.key);
@@ -51,6 +55,10 @@
     received.update.history = encodedUpdate.history();
     received.update.configVersion = encodedUpdate.config_version();
     received.update.removalGrace = Duration(encodedUpdate.grace_us());
+    received.update.bucketDigests.assign(encodedUpdate.bucket_digests().begin(),
+                                         encodedUpdate.bucket_digests().end());
+    received.update.isPartialState = encodedUpdate.is_partial();
+    received.update.buckets.assign(encodedUpdate.buckets().begin(), encodedUpdate.buckets().end());
     for (const proto::WorldItem &item : encodedUpdate.items()) {
         received.update.changes.push_back(
                 item.removed() ? wire::readRemoval(item.key(), item.revision())
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -114,8 +114,15 @@
     InstanceId origin;
     /// The store's history to which the revisions belong.
     std::uint64_t history = 0;
-    /// The configuration that the origin has in force; 0 if not sent.
+    /// The configuration that the origin, or the sender of a request, has in force; 0 if not sent.
     std::uint64_t configVersion = 0;
+    /// In a request: hashes of the parts of the sender's state; empty if it knows none.
+    std::vector<std::uint64_t> bucketDigests;
+    /// True if the changes are only the parts of the state that the receiver does not have, and the
+    /// configuration if the receiver's is older.
+    bool isPartialState = false;
+    /// The numbers of these parts.
+    std::vector<std::uint32_t> buckets;
 };
 
 /// Another member sent changes from the store, or requested them.
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -140,6 +140,9 @@
     /// Requests the state from a member that has a newer configuration in force than this instance
     /// although both know the same of the store.
     void requestNewerConfig(const StoreUpdateReceived &event, GatewayContext &context);
+    /// Adds to a request for the state what this instance knows, so that only the differences need
+    /// to be sent.
+    void describeState(StoreUpdate &request) const;
     void answerStateRequest(const StoreUpdateReceived &event, GatewayContext &context);
     /// Requests the whole state from a member or a seed while the store can't be reached.
     void requestState(GatewayContext &context);
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -1,14 +1,14 @@
 // The part of StoreSync that exchanges updates and state requests with the other members.
 
-#include "logic/gateway/relay_tree.h"
 #include "logic/gateway/store_sync.h"
+#include "logic/replication/relay_tree.h"
+#include "logic/replication/state_digest.h"
 
 #include <algorithm>
 #include <iterator>
 #include <random>
 #include <utility>
 #include <variant>
-#include <xxhash.h>
 
 namespace lagoondeck {
 
@@ -105,8 +105,12 @@
 std::vector<std::string> StoreSync::relayReceivers(const InstanceId &origin) const
 {
     std::vector<std::string> members;
+    std::vector<std::size_t> domains;
+    std::map<FailureDomain, std::size_t> domainNumbers;
     for (const auto &[id, member] : this->memberTable) {
         members.push_back(member.peerAddress);
+        domains.push_back(
+                domainNumbers.emplace(member.failureDomain, domainNumbers.size()).first->second);
     }
     const auto positionOf = [this](const std::string &id) {
         return static_cast<std::size_t>(
@@ -114,7 +118,7 @@
     };
     std::vector<std::string> receivers;
     for (const std::size_t position :
-         relayChildren(positionOf(origin.value), positionOf(this->self.value), members.size())) {
+         relayChildren(domains, positionOf(origin.value), positionOf(this->self.value))) {
         if (members[position] != this->ownAddress) {
             receivers.push_back(members[position]);
         }
@@ -199,6 +203,7 @@
     this->configRequestAt = context.now + stateRequestInterval;
     auto request = std::make_shared<StoreUpdate>();
     request->isStateRequest = true;
+    this->describeState(*request);
     context.emit(SendStoreUpdate {{event.sender}, std::move(request)});
 }
 
@@ -210,14 +215,7 @@
             // Members of an older version don't keep these keys.
             continue;
         }
-        std::string text = key;
-        if (const auto *target = std::get_if<TargetRecord>(&item.content)) {
-            text += "|" + std::to_string(target->startedAtMs) + "|" + target->group.value + "|"
-                    + target->address + (target->leaving ? "|leaving" : "");
-        } else if (const auto *config = std::get_if<RoutingConfigPtr>(&item.content)) {
-            text += "|" + std::to_string((*config)->version);
-        }
-        sum += XXH3_64bits(text.data(), text.size());
+        sum += contentHash(item);
     }
     return sum;
 }
@@ -255,6 +253,15 @@
         this->apply(change, ChangeSource::Listing, context);
         listedKeys.insert(change.key);
     }
+    if (update.isPartialState) {
+        // The rest is the same at the sender.
+        for (const auto &[key, item] : this->knownState) {
+            if (item.kind == StoreKeyKind::Config
+                || std::ranges::find(update.buckets, bucketOf(key)) == update.buckets.end()) {
+                listedKeys.insert(key);
+            }
+        }
+    }
     this->position = end;
     this->confirmedAt = context.now;
     this->removeUnlisted(listedKeys, context);
@@ -276,15 +283,36 @@
     update->toRevision = this->position.revision;
     update->isFullState = true;
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
+    if (event.update.bucketDigests.size() == stateBuckets) {
+        update->isPartialState = true;
+        const std::vector<std::uint64_t> digests = bucketDigests(this->knownState);
+        for (std::uint32_t bucket = 0; bucket < stateBuckets; ++bucket) {
+            if (digests[bucket] != event.update.bucketDigests[bucket]) {
+                update->buckets.push_back(bucket);
+            }
+        }
+    }
     for (const auto &[key, item] : this->knownState) {
-        if (item.kind != StoreKeyKind::Config) {
+        const bool isNeeded = !update->isPartialState
+                || std::ranges::find(update->buckets, bucketOf(key)) != update->buckets.end();
+        if (item.kind != StoreKeyKind::Config && isNeeded) {
             update->changes.push_back(item);
         }
     }
-    update->changes.push_back(this->configInForce);
+    if (!update->isPartialState || event.update.configVersion < this->configVersion()) {
+        update->changes.push_back(this->configInForce);
+    }
     context.emit(SendStoreUpdate {{event.sender}, std::move(update)});
 }
 
+void StoreSync::describeState(StoreUpdate &request) const
+{
+    if (this->targetsKnown) {
+        request.bucketDigests = bucketDigests(this->knownState);
+        request.configVersion = this->configVersion();
+    }
+}
+
 void StoreSync::requestState(GatewayContext &context)
 {
     this->stateRequestAt = context.now + stateRequestInterval;
@@ -297,6 +325,7 @@
     update->isStateRequest = true;
     update->history = this->position.history;
     update->toRevision = this->position.revision;
+    this->describeState(*update);
     std::uniform_int_distribution<std::size_t> pick(0, recipients.size() - 1);
     context.emit(SendStoreUpdate {{recipients[pick(context.random)]}, std::move(update)});
 }
