--- a/core/store_change.h
+++ b/core/store_change.h
@@ -20,6 +20,8 @@
     /// How many parts of gathered requests the instance can coordinate per second for other
     /// members. 0 if it does not coordinate requests.
     std::uint32_t partsPerSecond = 0;
+    /// Whether the instance reads compressed values in messages. Instances of older versions don't.
+    bool acceptsCompression = false;
 
     bool operator==(const MemberRecord &) const = default;
 };
@@ -41,7 +43,7 @@
     Member,
     Quarantine,
     Evacuation, ///< Nothing may be sent to the targets of a failure domain while the key exists.
-    Other, ///< A key of another user of the store.
+    Other,      ///< A key of another user of the store.
 };
 
 /// The decoded value of a key; std::monostate when the key was removed or its value can't be read.
@@ -55,6 +57,8 @@
     std::string key;
     /// The encoded value as it was written, for sending it to peers.
     std::shared_ptr<const std::string> encodedValue;
+    /// The same value compressed, if it was received so.
+    std::shared_ptr<const std::string> compressedValue;
     /// The id of the target, member or quarantine, or the failure domain that is evacuated.
     std::string id;
     std::uint64_t revision = 0;
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -389,19 +389,18 @@
                       !message.keepsConnection, monotonicNow());
 }
 
+const MemberRecord *GatewayNode::findMember(const std::string &address)
+{
+    this->memberAddresses.update(this->gateway.members(), this->gateway.memberRevision());
+    return this->memberAddresses.find(address);
+}
+
 void GatewayNode::sendToMember(const std::string &address,
                                const std::shared_ptr<const proto::PeerMessage> &message)
 {
-    if (this->gateway.memberRevision() != this->memberDomainsRevision) {
-        this->memberDomainsRevision = this->gateway.memberRevision();
-        this->memberDomains.clear();
-        for (const auto &[id, member] : this->gateway.members()) {
-            this->memberDomains.emplace(member.peerAddress, member.failureDomain);
-        }
-    }
-    const auto domain = this->memberDomains.find(address);
+    const MemberRecord *member = this->findMember(address);
     const bool crossesDomains =
-            domain != this->memberDomains.end() && domain->second != this->settings.failureDomain;
+            member != nullptr && member->failureDomain != this->settings.failureDomain;
     this->traffic.add(trafficKindOf(*message), crossesDomains, message->ByteSizeLong());
     this->peers.send(address, message);
 }
@@ -459,9 +458,18 @@
 
 void GatewayNode::execute(SendStoreUpdate &effect)
 {
-    const auto message =
-            writeStoreUpdate(*effect.update, this->settings.id.value, this->settings.peerAddress);
+    // The same message goes to all receivers of one kind.
+    std::shared_ptr<const proto::PeerMessage> plain;
+    std::shared_ptr<const proto::PeerMessage> compressed;
     for (const std::string &receiver : effect.receivers) {
+        const MemberRecord *member = this->findMember(receiver);
+        const bool mayCompress = effect.update->acceptsCompression
+                || (member != nullptr && member->acceptsCompression);
+        auto &message = mayCompress ? compressed : plain;
+        if (message == nullptr) {
+            message = writeStoreUpdate(*effect.update, mayCompress, this->settings.id.value,
+                                       this->settings.peerAddress);
+        }
         this->sendToMember(receiver, message);
     }
 }
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -8,6 +8,7 @@
 #include "drivers/edge/gateway_metrics.h"
 #include "drivers/edge/http_listener.h"
 #include "drivers/edge/json_log.h"
+#include "drivers/edge/member_addresses.h"
 #include "drivers/edge/store_link.h"
 #include "drivers/edge/target_links.h"
 #include "drivers/peer_socket.h"
@@ -71,6 +72,8 @@
     EdgeCounts edgeCounts() const;
     std::string statusJson() const;
     void processPeerMessages();
+    /// Returns null if no member is registered with the address.
+    const MemberRecord *findMember(const std::string &address);
     void sendToMember(const std::string &address,
                       const std::shared_ptr<const proto::PeerMessage> &message);
 
@@ -107,9 +110,7 @@
     /// When the latest event was applied.
     Instant appliedAt {};
     DomainTraffic traffic;
-    /// The failure domains of the members by peer address, as of a revision of the members.
-    std::unordered_map<std::string, FailureDomain> memberDomains;
-    std::uint64_t memberDomainsRevision = 0;
+    MemberAddresses memberAddresses;
     TargetLinks targets;
     StoreLink store;
     Inbox inbox;
--- a/drivers/edge/peer_store_update.h
+++ b/drivers/edge/peer_store_update.h
@@ -13,8 +13,10 @@
 class PeerMessage;
 }
 
-/// Returns the peer message that carries a store update.
+/// Returns the peer message that carries a store update. Large values are compressed if the
+/// receivers accept that.
 std::shared_ptr<const proto::PeerMessage> writeStoreUpdate(const StoreUpdate &update,
+                                                           bool mayCompress,
                                                            const std::string &sender,
                                                            const std::string &senderAddress);
 
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -123,6 +123,9 @@
     bool isPartialState = false;
     /// The numbers of these parts.
     std::vector<std::uint32_t> buckets;
+    /// In a request: whether the sender reads compressed values. In a reply: whether the receiver
+    /// said so.
+    bool acceptsCompression = false;
 };
 
 /// Another member sent changes from the store, or requested them.
--- a/logic/gateway/registration.cpp
+++ b/logic/gateway/registration.cpp
@@ -24,7 +24,7 @@
 
 Registration::Registration(const GatewaySettings &settings)
     : self {settings.id, settings.peerAddress, settings.failureDomain,
-            coordinatorCapacity(settings)},
+            coordinatorCapacity(settings), true},
       timeToLive(std::max(leaseDuration, settings.minLease))
 { }
 
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -282,6 +282,7 @@
     update->history = this->position.history;
     update->toRevision = this->position.revision;
     update->isFullState = true;
+    update->acceptsCompression = event.update.acceptsCompression;
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
     if (event.update.bucketDigests.size() == stateBuckets) {
         update->isPartialState = true;
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -57,7 +57,7 @@
     update.fromRevision = 3;
     update.toRevision = 5;
     update.origin = InstanceId("first");
-    const auto read = readStoreUpdate(*writeStoreUpdate(update, "b", "127.0.0.1:2"));
+    const auto read = readStoreUpdate(*writeStoreUpdate(update, true, "b", "127.0.0.1:2"));
     REQUIRE(read);
     CHECK(read->sender == "127.0.0.1:2");
     CHECK(read->update.origin == InstanceId("first"));
@@ -70,7 +70,7 @@
     update.toRevision = 5;
     update.history = 3;
     update.configVersion = 12;
-    const auto read = readStoreUpdate(*writeStoreUpdate(update, "b", "127.0.0.1:2"));
+    const auto read = readStoreUpdate(*writeStoreUpdate(update, true, "b", "127.0.0.1:2"));
     REQUIRE(read);
     CHECK(read->update.history == 3);
     CHECK(read->update.configVersion == 12);
