--- a/core/json_input.cpp
+++ b/core/json_input.cpp
@@ -92,6 +92,22 @@
     return text;
 }
 
+/// `describe` returns the text of the error for the parser's error, whose message quotes the input.
+template <typename Describe>
+leaf::result<nlohmann::json> parse(std::string_view text, const Describe &describe)
+{
+    if (isTooDeep(text)) {
+        return leaf::new_error(MalformedInput {"nested too deep", 0});
+    }
+    try {
+        return nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        return leaf::new_error(MalformedInput {describe(error), error.byte});
+    } catch (const nlohmann::json::out_of_range &) {
+        return leaf::new_error(MalformedInput {"a number is out of range", 0});
+    }
+}
+
 /// Returns a name that occurs twice in one object, or an empty string when there is none.
 std::string findDuplicateName(std::string_view text)
 {
@@ -117,14 +133,18 @@
 
 leaf::result<nlohmann::json> parseJson(std::string_view text)
 {
-    if (isTooDeep(text)) {
-        return leaf::new_error(MalformedInput {"nested too deep", 0});
-    }
-    try {
-        return nlohmann::json::parse(text, nullptr, true, true);
-    } catch (const nlohmann::json::parse_error &error) {
-        return leaf::new_error(MalformedInput {replaceUnprintable(error.what()), error.byte});
-    }
+    const auto describe = [](const nlohmann::json::parse_error &error) {
+        return replaceUnprintable(error.what());
+    };
+    return parse(text, describe);
+}
+
+leaf::result<nlohmann::json> parseSecretJson(std::string_view text)
+{
+    const auto describe = [](const nlohmann::json::parse_error &error) {
+        return "syntax error at byte " + std::to_string(error.byte);
+    };
+    return parse(text, describe);
 }
 
 leaf::result<nlohmann::json> readJsonFile(const std::string &path)
--- a/tests/platform/test_message_codec.cpp
+++ b/tests/platform/test_message_codec.cpp
@@ -178,3 +178,98 @@
     }
     CHECK_FALSE(wire::readTargetReply(reply(200, {{"Server-Stamp", "s"}}), "r").requestLimit);
 }
+
+namespace {
+
+const std::string key = "k-7f3a9c";
+
+/// Returns the request that is read from fields which all requests need and the given ones.
+ForwardedRequest readWith(HeaderFields fields)
+{
+    HeaderFields all {{"Host", "h"}, {"Request-Id", "r1"}, {"X-Kept", "2"}};
+    all.insert(all.end(), fields.begin(), fields.end());
+    const auto read = wire::readRequest(request(std::move(all)));
+    REQUIRE(read);
+    return *read;
+}
+
+} // namespace
+
+TEST_CASE("a key is read from a single field with the scheme for keys, in any case")
+{
+    CHECK(readWith({{"Authorization", "Bearer " + key}}).accountKey == key);
+    CHECK(readWith({{"authorization", "bearer " + key}}).accountKey == key);
+    CHECK(readWith({{"AUTHORIZATION", "BEARER \t " + key + " \t"}}).accountKey == key);
+    for (const std::string &value :
+         std::vector<std::string> {key, "Basic " + key, "Bearer", "Bearer ", "Bearer" + key,
+                                   "Bearer\t" + key, " Bearer"}) {
+        INFO(value);
+        CHECK(readWith({{"Authorization", value}}).accountKey.empty());
+    }
+    CHECK(readWith({}).accountKey.empty());
+}
+
+// Guards against a request that names two accounts and is served for one of them.
+TEST_CASE("several fields with keys give no key")
+{
+    const std::string value = "Bearer " + key;
+    CHECK(readWith({{"Authorization", value}, {"authorization", value}}).accountKey.empty());
+    CHECK(readWith({{"Authorization", value}, {"Authorization", "Basic x"}}).accountKey.empty());
+    CHECK(readWith({{"Authorization", value + ", Bearer other"}}).accountKey != key);
+}
+
+// Guards against a proxy in front of this instance that lists the field as its own, and whose
+// callers are then all refused.
+TEST_CASE("a key counts also if the Connection field names it, and is then not passed on")
+{
+    const ForwardedRequest read = readWith({{"Connection", "close, authorization, TENANT"},
+                                            {"Authorization", "Bearer " + key},
+                                            {"Tenant", "forged"}});
+    CHECK(read.accountKey == key);
+    CHECK(read.identityFields.empty());
+    const std::string bytes = wire::writeTargetRequest(read, "t1", std::chrono::milliseconds(5));
+    CHECK_FALSE(contains(bytes, key));
+    CHECK_FALSE(contains(bytes, "forged"));
+}
+
+// Guards against a key, or an account's name that the caller invented, among the fields that are
+// passed on whatever the configuration says.
+TEST_CASE("fields that tell who the caller is are kept apart from the others")
+{
+    const ForwardedRequest read = readWith({{"authorization", "Bearer " + key},
+                                            {"tenant", "forged"},
+                                            {"Authorization", "Digest " + key},
+                                            {"TENANT", "forged"},
+                                            {"X-Last", "3"}});
+    CHECK(read.identityFields.size() == 4);
+    CHECK(read.fields
+          == HeaderFields {{"Host", "h"}, {"Request-Id", "r1"}, {"X-Kept", "2"}, {"X-Last", "3"}});
+}
+
+TEST_CASE("a target gets the account's name once, or what the caller sent if there are no accounts")
+{
+    ForwardedRequest read = readWith({{"Authorization", "Bearer " + key}, {"Tenant", "forged"}});
+    const std::string unchanged =
+            wire::writeTargetRequest(read, "t1", std::chrono::milliseconds(5));
+    CHECK(contains(unchanged, "Authorization: Bearer " + key + "\r\n"));
+    CHECK(contains(unchanged, "Tenant: forged\r\n"));
+
+    read.identityFields.clear();
+    read.accountKey.clear();
+    read.account = "acme";
+    const std::string identified =
+            wire::writeTargetRequest(read, "t1", std::chrono::milliseconds(5));
+    CHECK(contains(identified, "\r\nTenant: acme\r\n"));
+    CHECK_FALSE(contains(identified, "forged"));
+    CHECK_FALSE(contains(identified, key));
+}
+
+TEST_CASE("a refusal for want of a key names the scheme that is expected")
+{
+    CallerReply refusal;
+    refusal.status = 401;
+    refusal.detail = "d";
+    const std::string bytes = wire::writeCallerReply(refusal, "GET", false);
+    CHECK(bytes.starts_with("HTTP/1.1 401 Unauthorized\r\n"));
+    CHECK(contains(bytes, "\r\nWWW-Authenticate: Bearer\r\n"));
+}
--- a/tests/platform/test_store_value_codec.cpp
+++ b/tests/platform/test_store_value_codec.cpp
@@ -2,6 +2,7 @@
 #include "platform/store_value_codec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
@@ -184,3 +185,133 @@
     CHECK(call.find("lagoondeck/quarantine/18446744073709551615") != std::string::npos);
     CHECK(call.find("\"lease\":9") != std::string::npos);
 }
+
+namespace {
+
+const std::string secret = "secret-5b1e";
+
+/// A configuration with the given list of accounts.
+std::string configWith(const std::string &accounts)
+{
+    return R"({"version":8,"routes":[],"tenants":)" + accounts + "}";
+}
+
+RoutingConfigPtr readAccounts(const std::string &accounts)
+{
+    const StoreChange change = wire::readChange("op/config", configWith(accounts), 1);
+    const auto *routing = std::get_if<RoutingConfigPtr>(&change.content);
+    return routing == nullptr ? nullptr : *routing;
+}
+
+} // namespace
+
+TEST_CASE("client accounts are decoded with their keys and limits")
+{
+    const RoutingConfigPtr routing = readAccounts(
+            R"([{"name":"acme","api_keys":["k1","k2"],"priority":0,"rate_per_s":2.5,"burst":7,)"
+            R"("allowed_regions":["east"],"note":"x"},{"name":"b"}])");
+    REQUIRE(routing != nullptr);
+    REQUIRE(routing->accounts.size() == 2);
+    const ClientAccount &account = routing->accounts[0];
+    CHECK(account.name == "acme");
+    CHECK(account.keys == std::vector<std::string> {"k1", "k2"});
+    CHECK(account.priority == 0U);
+    CHECK(account.requestsPerSecond == 2.5);
+    CHECK(account.burst == 7.0);
+    CHECK(account.allowedRegions == std::vector<Region> {Region("east")});
+    CHECK_FALSE(routing->accounts[1].priority);
+    CHECK_FALSE(routing->accounts[1].isCapped());
+    CHECK(readAccounts("null")->accounts.empty());
+    CHECK(readAccounts("[]")->accounts.empty());
+}
+
+TEST_CASE("a route may be public and name regions; a service may limit its cold targets")
+{
+    const StoreChange change = wire::readChange(
+            "op/config",
+            R"({"version":8,"routes":[{"name":"r","host":"h","prefix":"/","service":"s",)"
+            R"("public":true,"allowed_regions":["e","w"]},{"name":"q","host":"h","prefix":"/q",)"
+            R"("service":"s"}],"services":[{"name":"s","warmup_s":1.5,"warmup_per_s":4},)"
+            R"({"name":"u","warmup_s":9}]})",
+            1);
+    const auto routing = std::get<RoutingConfigPtr>(change.content);
+    CHECK(routing->routes[0].isPublic);
+    CHECK(routing->routes[0].allowedRegions.size() == 2);
+    CHECK_FALSE(routing->routes[1].isPublic);
+    CHECK(routing->routes[1].allowedRegions.empty());
+    REQUIRE(routing->coldLimits.size() == 1);
+    CHECK(routing->coldLimits.at(GroupName("s")).warmup == std::chrono::milliseconds(1500));
+    CHECK(routing->coldLimits.at(GroupName("s")).requestsPerSecond == 4.0);
+}
+
+TEST_CASE("an evacuation is decoded to the failure domain, whatever its value")
+{
+    for (const char *value : {"{}", "", "[1]"}) {
+        const StoreChange change = wire::readChange("op/evacuate/east-1", value, 4);
+        CHECK(change.kind == StoreKeyKind::Evacuation);
+        CHECK(change.id == "east-1");
+        CHECK(change.problem.empty());
+    }
+    CHECK(wire::readRemoval("op/evacuate/east-1", 5).kind == StoreKeyKind::Evacuation);
+    CHECK(wire::readChange("op/evacuate/", "{}", 1).kind == StoreKeyKind::Other);
+}
+
+// Guards against a name that adds header fields to the requests for targets, or that stands for no
+// account at all: requests of an account without a name pass for requests of a member without
+// accounts.
+TEST_CASE("a configuration is refused if an account's name can't be sent in a header field")
+{
+    for (const char *name :
+         {"", " ", " a", "a ", "a\\r\\nX-Y: z", "a\\nb", "a\\u0000b", "a\\tb", "\\u007f"}) {
+        INFO(name);
+        CHECK(readAccounts(R"([{"name":")" + std::string(name) + R"(","api_keys":["k"]}])")
+              == nullptr);
+    }
+    for (const char *name : {"a", "a b", "a/b:c", "\\u00e9"}) {
+        INFO(name);
+        CHECK(readAccounts(R"([{"name":")" + std::string(name) + R"("}])") != nullptr);
+    }
+}
+
+TEST_CASE("a configuration is refused if its accounts have the wrong form")
+{
+    for (const char *accounts :
+         {"7", "{}", R"(["a"])", R"([{"api_keys":["k"]}])", R"([{"name":7}])",
+          R"([{"name":"a","api_keys":"k"}])", R"([{"name":"a","api_keys":[7]}])",
+          R"([{"name":"a","rate_per_s":-1}])", R"([{"name":"a","burst":"much"}])",
+          R"([{"name":"a","priority":-1}])", R"([{"name":"a","allowed_regions":{}}])"}) {
+        INFO(accounts);
+        CHECK(readAccounts(accounts) == nullptr);
+    }
+}
+
+// Guards against a key in the log: the problem of a refused configuration is logged.
+TEST_CASE("the problem of a configuration does not quote it")
+{
+    const std::string accounts = R"([{"name":"a","api_keys":[")" + secret + R"("]}])";
+    const std::string valid = configWith(accounts);
+    const std::size_t quoteAt = valid.find(secret) + secret.size();
+    for (const std::string &malformed :
+         {valid.substr(0, quoteAt), valid.substr(0, quoteAt - 1) + "\n" + valid.substr(quoteAt),
+          valid.substr(0, quoteAt + 1) + " x" + valid.substr(quoteAt + 1),
+          valid.substr(0, quoteAt) + "\xff" + valid.substr(quoteAt),
+          configWith(R"([{"name":"a","api_keys":")" + secret + R"("}])"),
+          configWith(R"([{"name":"a","api_keys":[")" + secret + R"(",7]}])"),
+          configWith(R"([{"name":"a","api_keys":{")" + secret + R"(":1}}])"),
+          configWith(R"([{"name":"a","rate_per_s":")" + secret + R"("}])"), secret}) {
+        const StoreChange change = wire::readChange("op/config", malformed, 1);
+        INFO(change.problem);
+        CHECK_FALSE(change.problem.empty());
+        CHECK(change.problem != "the value can't be read");
+        CHECK(change.problem.find("secret") == std::string::npos);
+    }
+}
+
+// Guards against an error without a type: the library reports a number beyond the range in another
+// way than other errors.
+TEST_CASE("a number beyond the range of numbers is named as the problem of the value")
+{
+    for (const std::string &text : {std::string("1e999"), configWith("[1e999]")}) {
+        CHECK(wire::readChange("op/config", text, 1).problem == "a number is out of range");
+    }
+}
--- a/tests/platform/test_wire_names.cpp
+++ b/tests/platform/test_wire_names.cpp
@@ -14,7 +14,8 @@
          "Deadline-Ms",    "Instance-Id",  "/lagoondeck/kv",    "op/config",      "servers/",
          "traffic_split",  "route_type",   "target_latency_ms", "min_coverage",   "max_conns",
          "warmup_left_ms", "heartbeat_ms", "expected_rev",      "store_revision", "allow_stale",
-         "stable_window"});
+         "stable_window",  "api_keys",     "op/evacuate/",      "warmup_per_s",   "Authorization",
+         "Bearer "});
 
 constexpr auto folders = std::to_array<std::string_view>(
         {"core", "logic", "drivers", "main", "operator", "bench", "proto"});
