--- a/tests/drivers_edge/test_delegation_messages.cpp
+++ b/tests/drivers_edge/test_delegation_messages.cpp
@@ -1,4 +1,6 @@
 #include "drivers/edge/delegation_messages.h"
+#include "platform/message_codec.h"
+#include "platform/wire_names.h"
 #include "proto/peer.pb.h"
 
 #include <catch2/catch.hpp>
@@ -154,3 +156,94 @@
     message.mutable_crash();
     CHECK_FALSE(readDelegationMessage(message));
 }
+
+namespace {
+
+const std::string key = "k-93ab";
+
+DelegatedRequest delegated(ForwardedRequest request)
+{
+    request.method = "GET";
+    request.path = "/a";
+    request.fields = {{"Request-Id", "r1"}};
+    DelegatedRequest query;
+    query.request = std::make_shared<const ForwardedRequest>(std::move(request));
+    return query;
+}
+
+/// Returns what a member of a version without accounts sends to a target: all fields of the
+/// message.
+std::string forwardedByOlderMember(const proto::PeerMessage &message)
+{
+    ForwardedRequest request;
+    request.method = "GET";
+    request.path = "/a";
+    for (const proto::HeaderField &field : message.delegated_request().fields()) {
+        request.fields.emplace_back(field.name(), field.value());
+    }
+    return wire::writeTargetRequest(request, "t", 5ms);
+}
+
+std::string fieldLine(std::string_view name, const std::string &value)
+{
+    return "\r\n" + std::string(name) + ": " + value + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("a delegated request of an account is decoded with its name and without a key")
+{
+    ForwardedRequest request;
+    request.account = "acme";
+    const auto message = writeDelegatedRequest(delegated(request), sender, address);
+    CHECK(message->delegated_request().account() == "acme");
+    const auto read = decode<RequestDelegated>(message);
+    CHECK(read.query.request->account == "acme");
+    CHECK(read.query.request->accountKey.empty());
+    CHECK(read.query.request->fields == HeaderFields {{"Request-Id", "r1"}});
+}
+
+// Guards against a target that doesn't learn the account while the fleet runs two versions.
+TEST_CASE("a member without accounts passes the account's name of a delegated request on")
+{
+    ForwardedRequest request;
+    request.account = "acme";
+    const std::string bytes =
+            forwardedByOlderMember(*writeDelegatedRequest(delegated(request), sender, address));
+    CHECK(bytes.find(fieldLine(wire::account, "acme")) != std::string::npos);
+    CHECK(bytes.find(wire::authorization) == std::string::npos);
+}
+
+// Guards against requests that are refused, or passed on with their key, while the fleet runs two
+// versions.
+TEST_CASE("the key in a delegated request of a member without accounts is read, not passed on")
+{
+    proto::PeerMessage message;
+    proto::DelegatedRequest &encoded = *message.mutable_delegated_request();
+    for (const auto &[name, value] : HeaderFields {
+                 {"Request-Id", "r1"}, {"authorization", "Bearer " + key}, {"TENANT", "forged"}}) {
+        proto::HeaderField &field = *encoded.add_fields();
+        field.set_name(name);
+        field.set_value(value);
+    }
+    const auto event = readDelegationMessage(message);
+    REQUIRE(event);
+    const ForwardedRequest &request = *std::get<RequestDelegated>(*event).query.request;
+    CHECK(request.account.empty());
+    CHECK(request.accountKey == key);
+    CHECK(request.fields == HeaderFields {{"Request-Id", "r1"}});
+}
+
+TEST_CASE("a delegated request keeps the caller's fields if there are no accounts")
+{
+    ForwardedRequest request;
+    request.identityFields = {{"authorization", "Basic x"}, {"Tenant", "own"}};
+    const auto message = writeDelegatedRequest(delegated(request), sender, address);
+    CHECK(message->delegated_request().account().empty());
+    const auto read = decode<RequestDelegated>(message);
+    CHECK(read.query.request->identityFields == request.identityFields);
+    CHECK(read.query.request->accountKey.empty());
+    const std::string bytes = wire::writeTargetRequest(*read.query.request, "t", 5ms);
+    CHECK(bytes.find(fieldLine("authorization", "Basic x")) != std::string::npos);
+    CHECK(bytes.find(fieldLine("Tenant", "own")) != std::string::npos);
+}
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -206,6 +206,10 @@
         request.host = host;
         request.requestId = "r" + std::to_string(++this->lastExchange);
         request.timeLimit = timeLimit;
+        if (!this->accountKey.empty()) {
+            request.accountKey = this->accountKey;
+            request.identityFields = {{"identity", this->accountKey}};
+        }
         const ExchangeId id(this->lastExchange);
         this->apply(RequestArrived {id,
                                     std::make_shared<const ForwardedRequest>(std::move(request)),
@@ -259,6 +263,8 @@
     std::vector<RequestLearnedState> learnedStateRequests;
     std::vector<SendLearnedState> learnedStates;
     std::vector<WriteLog> logs;
+    /// The key that the requests sent next carry; empty if none.
+    std::string accountKey;
     /// The path of the requests that are sent next.
     CallerPath path;
     /// How long the requests that are sent next waited unread.
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "logic/gateway/coordinator_capacity.h"
 
+#include <algorithm>
+#include <iterator>
 #include <random>
 #include <tuple>
 
@@ -11,7 +13,6 @@
 
 /// One in so many instances of a domain is large.
 constexpr std::size_t largeInstanceInterval = 10;
-constexpr std::uint64_t storeRevision = 10;
 /// The spread of the targets' latencies.
 constexpr double latencySigma = 0.35;
 constexpr double tailProbability = 0.01;
@@ -174,6 +175,10 @@
     request.path = path;
     request.host = "h";
     request.requestId = "r" + std::to_string(number);
+    if (!this->accountKey.empty()) {
+        request.accountKey = this->accountKey;
+        request.identityFields = {{"identity", this->accountKey}};
+    }
     this->sentAt[number] = this->now;
     this->prefixes[number] = prefix;
     this->receivers[number] = instance;
@@ -409,16 +414,34 @@
             });
 }
 
+void GatewayFleet::writeStore(StoreChange change)
+{
+    change.revision = ++this->storeRevision;
+    std::erase_if(this->storeState,
+                  [&](const StoreChange &known) { return known.key == change.key; });
+    this->storeState.push_back(std::move(change));
+}
+
 void GatewayFleet::answerStore(std::size_t instance, const CallStore &effect)
 {
     StoreAnswer answer;
+    if (this->withoutStore.contains(instance)) {
+        answer.status = StoreCallStatus::NoAnswer;
+        this->applyAt(this->now + effect.timeout, instance,
+                      StoreAnswered {effect.operation, std::move(answer)});
+        return;
+    }
     answer.status = StoreCallStatus::Done;
-    answer.revision = storeRevision;
+    answer.revision = this->storeRevision;
     Duration wait = milliseconds(4);
     if (std::holds_alternative<ReadStore>(effect.call)) {
         answer.changes = this->storeState;
     } else if (const auto *watch = std::get_if<WatchStore>(&effect.call)) {
-        wait = watch->wait;
+        std::ranges::copy_if(this->storeState, std::back_inserter(answer.changes),
+                             [watch](const StoreChange &change) {
+                                 return change.revision > watch->afterRevision;
+                             });
+        wait = answer.changes.empty() ? watch->wait : wait;
     } else if (std::holds_alternative<GrantLease>(effect.call)) {
         answer.lease = instance + 1;
     } else if (const auto *record = std::get_if<RecordQuarantine>(&effect.call)) {
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -128,6 +128,12 @@
     void cut(std::size_t instance, PathCut how);
     /// From now on no message of the instance reaches another member.
     void silence(std::size_t instance) { this->silenced.insert(instance); }
+    /// From now on the instance can't reach the store.
+    void cutStore(std::size_t instance) { this->withoutStore.insert(instance); }
+    /// Writes a value to the store.
+    void writeStore(StoreChange change);
+    /// The key that the queries sent next carry; empty if none.
+    std::string accountKey;
     /// The instance handles nothing for a while; what arrives is handled afterwards.
     void pause(std::size_t instance, Duration duration);
     std::size_t indexOf(const std::string &id) const { return this->indexById.at(id); }
@@ -230,6 +236,8 @@
     /// Instances that get no queries from callers.
     std::set<std::size_t> excluded;
     std::set<std::size_t> silenced;
+    std::set<std::size_t> withoutStore;
+    std::uint64_t storeRevision = 10;
     std::map<std::uint64_t, Instant> sentAt;
     std::map<std::uint64_t, std::string> prefixes;
     std::map<std::uint64_t, std::size_t> receivers;
