Admit nothing by a configuration that is older than the fleet's

Members now tell the version that they have in force with what they have learned. An older member ignores the field and doesn't tell it. The first start of a fleet waits for nobody.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -109,6 +109,10 @@
          "why."},
         {LogEvent::LogLinesDropped, "LogLinesDropped", LogSeverity::Warning,
          "Log lines were dropped because there were too many or the log was not read."},
+        {LogEvent::ConfigBehind, "ConfigBehind", LogSeverity::Warning,
+         "A member has a newer configuration in force; requests are refused until it has arrived."},
+        {LogEvent::NewerConfigMissing, "NewerConfigMissing", LogSeverity::Error,
+         "No member sent its newer configuration in time; requests are admitted by the older one."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -63,6 +63,8 @@
     RequestServed = 600,
     RequestTroubled = 601,
     LogLinesDropped = 610,
+    ConfigBehind = 708,
+    NewerConfigMissing = 709,
 };
 
 /// The documentation of a log event.
--- a/drivers/edge/learned_state_messages.cpp
+++ b/drivers/edge/learned_state_messages.cpp
@@ -38,6 +38,7 @@
     auto message = createMessage(sender, senderAddress);
     proto::LearnedState &encoded = *message->mutable_learned_state();
     encoded.set_is_incomplete(!state.isComplete);
+    encoded.set_config_version(state.configVersion);
     for (const SuspectRequest &suspect : state.suspects) {
         proto::SuspectRequest &row = *encoded.add_suspects();
         row.set_fingerprint(suspect.fingerprint.value);
@@ -69,6 +70,7 @@
     const proto::LearnedState &encoded = message.learned_state();
     LearnedStateReceived event {message.sender_address(), {}};
     event.state.isComplete = !encoded.is_incomplete();
+    event.state.configVersion = encoded.config_version();
     for (const proto::SuspectRequest &row : encoded.suspects()) {
         event.state.suspects.push_back({Fingerprint(row.fingerprint()),
                                         std::min<std::uint32_t>(row.crashes(), maxKnownCrashes),
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -34,6 +34,8 @@
         return "parts-given-up";
     case EndReason::NoRoute:
         return "no-route";
+    case EndReason::UnconfirmedConfig:
+        return "unconfirmed-configuration";
     case EndReason::UnknownKey:
         return "unknown-key";
     case EndReason::AccountCapReached:
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -24,6 +24,7 @@
     CoverageReached,  ///< The minimum coverage was reached after the objective.
     PartsAbandoned,   ///< All missing parts were abandoned.
     NoRoute,
+    UnconfirmedConfig, ///< Members may have a newer configuration than this instance.
     UnknownKey,        ///< The request has no key of a client account.
     AccountCapReached, ///< The account has used what it may use in the whole fleet.
     NoConfiguration,
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -34,6 +34,8 @@
     std::vector<GatewayEffect> effects;
     GatewayContext context {now, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event);
+    this->configConfirmation.update(this->storeSync.isReady() ? this->storeSync.configVersion() : 0,
+                                    this->learnedState.hasReplies(), context);
     this->applyPathChange(context);
     this->passOnRequests(context);
     this->requestBudget(context);
@@ -54,6 +56,7 @@
     this->storeSync.start(context);
     this->registration.start(context);
     if (!this->settings.firstStart) {
+        this->configConfirmation.begin();
         this->learnedState.begin(this->storeSync.seedAddresses(), context);
     }
 }
@@ -61,17 +64,14 @@
 void Gateway::on(const RequestArrived &event, GatewayContext &context)
 {
     if (!this->storeSync.isReady()) {
-        CallerReply reply;
-        reply.status = statusUnavailable;
-        reply.retryAfter = notReadyRetryAfter;
-        reply.detail = "not run: this instance has no configuration yet";
-        context.log(LogEvent::RequestTroubled,
-                    {{"request", event.request->requestId},
-                     {"outcome", toString(ExchangeOutcome::Refused)},
-                     {"reason", toString(EndReason::NoConfiguration)}});
-        context.emit(AnswerExchange {event.exchange,
-                                     std::move(reply),
-                                     {"", ExchangeOutcome::Refused, EndReason::NoConfiguration}});
+        this->refuseNotReady(event, EndReason::NoConfiguration,
+                             "not run: this instance has no configuration yet", context);
+        return;
+    }
+    if (!this->configConfirmation.permits(this->storeSync.configVersion())) {
+        this->refuseNotReady(event, EndReason::UnconfirmedConfig,
+                             "not run: this instance may not have the configuration in force yet",
+                             context);
         return;
     }
     std::optional<AdmittedRequest> request =
@@ -96,6 +96,21 @@
     }
 }
 
+void Gateway::refuseNotReady(const RequestArrived &event, EndReason reason, const char *detail,
+                             GatewayContext &context)
+{
+    CallerReply reply;
+    reply.status = statusUnavailable;
+    reply.retryAfter = notReadyRetryAfter;
+    reply.detail = detail;
+    context.log(LogEvent::RequestTroubled,
+                {{"request", event.request->requestId},
+                 {"outcome", toString(ExchangeOutcome::Refused)},
+                 {"reason", toString(reason)}});
+    context.emit(AnswerExchange {
+            event.exchange, std::move(reply), {"", ExchangeOutcome::Refused, reason}});
+}
+
 bool Gateway::refuseIfTooLate(AdmittedRequest &request, GatewayContext &context)
 {
     const Instant endsBy = request.isCutShort ? Instant::max() : request.deadlineAt;
@@ -185,7 +200,9 @@
 
 const RouteTable *Gateway::readyRoutes() const
 {
-    return this->storeSync.isReady() ? this->storeSync.routes().get() : nullptr;
+    const bool isReady = this->storeSync.isReady()
+            && this->configConfirmation.permits(this->storeSync.configVersion());
+    return isReady ? this->storeSync.routes().get() : nullptr;
 }
 
 IntakeConditions Gateway::intakeConditions() const
@@ -389,6 +406,7 @@
     LearnedState state;
     state.suspects = this->forwarder.crashTracker().latestSuspects(context.now);
     state.isComplete = this->learnedState.isComplete();
+    state.configVersion = this->storeSync.configVersion();
     this->targets.describe(state, context.now);
     context.emit(SendLearnedState {event.sender, std::move(state)});
 }
@@ -396,6 +414,7 @@
 void Gateway::on(const LearnedStateReceived &event, GatewayContext &context)
 {
     this->learnedState.onReply(event.sender, event.state);
+    this->configConfirmation.onReported(event.sender, event.state.configVersion);
     for (const SuspectRequest &suspect : event.state.suspects) {
         this->forwarder.onSuspect(suspect, "learned", context);
     }
@@ -490,7 +509,8 @@
     return std::min({this->quarantineRecorder.nextTimer(), this->storeSync.nextTimer(),
                      this->registration.nextTimer(), this->learnedState.nextTimer(),
                      this->delegator.nextTimer(), this->forwarder.nextTimer(),
-                     this->path.nextTimer(), this->targets.limits().nextTimer()});
+                     this->path.nextTimer(), this->targets.limits().nextTimer(),
+                     this->configConfirmation.nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway_settings.h"
+#include "logic/accounts/config_confirmation.h"
 #include "logic/gateway/coordinator_ranking.h"
 #include "logic/gateway/delegation_intake.h"
 #include "logic/gateway/forwarder.h"
@@ -69,7 +70,12 @@
     /// Returns when the next TimerDue event must be passed to apply().
     Instant nextTimer() const;
     /// Returns whether the load balancer may send callers to this instance.
-    bool isReady() const { return this->storeSync.isReady() && !this->shutdown.hasBegun(); }
+    bool isReady() const
+    {
+        return this->storeSync.isReady()
+                && this->configConfirmation.permits(this->storeSync.configVersion())
+                && !this->shutdown.hasBegun();
+    }
     bool isIdle() const
     {
         return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0;
@@ -107,6 +113,9 @@
     void on(const TimerDue &event, GatewayContext &context);
     void on(const ProcessPaused &event, GatewayContext &context);
     void on(const GatewayStopRequested &event, GatewayContext &context);
+    /// Refuses a request that arrived before this instance may admit any.
+    void refuseNotReady(const RequestArrived &event, EndReason reason, const char *detail,
+                        GatewayContext &context);
     /// Returns the routes, or null if this instance is not ready.
     const RouteTable *readyRoutes() const;
     /// Returns the coordinators that the known members and targets give.
@@ -161,6 +170,7 @@
     /// The reports of members that were passed on.
     SeenNumbers seenReports;
     LearnedStateSync learnedState;
+    ConfigConfirmation configConfirmation;
     QuarantineRecorder quarantineRecorder;
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
--- a/logic/gateway/learned_state.h
+++ b/logic/gateway/learned_state.h
@@ -37,6 +37,9 @@
     std::vector<SuspectRequest> suspects;
     std::vector<StatedLimit> limits;
     std::vector<LeavingTarget> leavingTargets;
+    /// The version of the configuration in force; 0 if there is none, or if the instance runs a
+    /// version of the program that doesn't tell.
+    std::uint64_t configVersion = 0;
     /// False if the instance is still asking other members itself.
     bool isComplete = true;
 };
--- a/logic/gateway/learned_state_sync.cpp
+++ b/logic/gateway/learned_state_sync.cpp
@@ -51,6 +51,12 @@
     }
 }
 
+bool LearnedStateSync::hasReplies() const
+{
+    return this->isComplete()
+            || this->replied.size() >= std::min(wantedReplies, this->candidates.size());
+}
+
 void LearnedStateSync::onTimer(GatewayContext &context)
 {
     if (context.now >= this->nextAskAt) {
--- a/logic/gateway/learned_state_sync.h
+++ b/logic/gateway/learned_state_sync.h
@@ -31,6 +31,9 @@
     /// Returns true if the members that were asked have replied, or are not expected to any more.
     bool isComplete() const { return this->nextAskAt == Instant::max(); }
 
+    /// Returns true if as many members have replied as can be expected of those that are known now.
+    bool hasReplies() const;
+
     /// Keeps limits of targets until the targets are known.
     void holdLimits(const std::vector<StatedLimit> &limits);
     std::vector<StatedLimit> takeHeldLimits() { return std::exchange(this->heldLimits, {}); }
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -66,6 +66,8 @@
     const std::vector<std::string> &seedAddresses() const { return this->seeds; }
     /// Returns the peer addresses of all members except this instance.
     std::vector<std::string> otherMembers() const;
+    /// Returns the version of the configuration in force, or 0 before the first one is known.
+    std::uint64_t configVersion() const;
     /// Returns the newest history of the store that this instance has heard of.
     std::uint64_t history() const { return this->knownHistory; }
     const StoreHealth &storeHealth() const { return this->health; }
@@ -126,7 +128,6 @@
     void markMissing(const TargetId &target, GatewayContext &context);
     void dropMissingTargets(GatewayContext &context);
     void finishFullRead(GatewayContext &context);
-    std::uint64_t configVersion() const;
 
     // Exchange with the other members.
 
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -123,6 +123,7 @@
     state.limits = {{TargetId("t"), 2.5}, {TargetId("u"), std::nullopt}};
     state.leavingTargets = {{TargetId("v"), 1700000000000}};
     state.isComplete = false;
+    state.configVersion = 12;
     const auto message = writeLearnedState(state, "a", "127.0.0.1:1");
     const auto read = readLearnedState(*message);
     REQUIRE(read);
@@ -131,6 +132,7 @@
     CHECK(read->state.limits == state.limits);
     CHECK(read->state.leavingTargets == state.leavingTargets);
     CHECK_FALSE(read->state.isComplete);
+    CHECK(read->state.configVersion == 12);
     CHECK_FALSE(readLearnedStateRequest(*message));
     CHECK_FALSE(readLimitReport(*message));
     const auto request = readLearnedStateRequest(*writeLearnedStateRequest("a", "127.0.0.1:1"));
--- a/tests/parsers/test_parsers.cpp
+++ b/tests/parsers/test_parsers.cpp
@@ -6,6 +6,7 @@
 #include "drivers/caller_codec.h"
 #include "drivers/store_codec.h"
 #include "mutation.h"
+#include "platform/store_value_codec.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -104,6 +105,12 @@
              R"({"result":{"header":{"revision":"4"},"created":true,"events":[{"type":"DELETE",)"
              R"("kv":)"
                      + keyValue + "}]}}"},
+            {"routing", parserOf(wire::readConfig),
+             R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/","service":"s",)"
+             R"("timeout_ms":600,"public":true,"allowed_regions":["e"]}],"services":[{"name":"s",)"
+             R"("max_conns":3,"warmup_s":2.5,"warmup_per_s":4}],"tenants":[{"name":"acme",)"
+             R"("api_keys":["k1","k2"],"priority":2,"rate_per_s":0.5,"burst":3,)"
+             R"("allowed_regions":["e","w"]}],"limits":{"max_header_bytes":100}})"},
             {"caller", parserOf(parseCallerRequest),
              R"({"requestId":"r","caller":"c","deadlineMs":150,"idempotent":true,)"
              R"("minimumCoverage":1.0,"shard":3,"issuedAtMs":17963,"body":{"a":[1]}})"},
--- a/tests/parsers/test_round_trips.cpp
+++ b/tests/parsers/test_round_trips.cpp
@@ -1,7 +1,12 @@
 #include "core/catalogue_codec.h"
 #include "core/catalogue_keys.h"
 #include "core/instance_list_codec.h"
+#include "drivers/edge/delegation_messages.h"
+#include "drivers/edge/learned_state_messages.h"
 #include "drivers/store_codec.h"
+#include "mutation.h"
+#include "platform/store_value_codec.h"
+#include "proto/peer.pb.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -137,3 +142,129 @@
         RC_ASSERT(read.values == std::vector<StoreKeyValue>({{key, value, revision, 0}}));
     });
 }
+
+namespace {
+
+ClientAccount anyAccount()
+{
+    ClientAccount account;
+    account.name = anyName();
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+        account.keys.push_back(anyText());
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        account.priority = *rc::gen::arbitrary<std::uint32_t>();
+    }
+    account.requestsPerSecond = *rc::gen::inRange(0, 1'000'000) / 7.0;
+    account.burst = *rc::gen::inRange(0, 1'000'000) / 3.0;
+    for (int i = *rc::gen::inRange(0, 3); i > 0; --i) {
+        account.allowedRegions.emplace_back(anyText());
+    }
+    return account;
+}
+
+nlohmann::json accountJson(const ClientAccount &account)
+{
+    nlohmann::json regions = nlohmann::json::array();
+    for (const Region &region : account.allowedRegions) {
+        regions.push_back(region.value);
+    }
+    return {{"name", account.name},
+            {"api_keys", account.keys},
+            {"priority",
+             account.priority ? nlohmann::json(*account.priority) : nlohmann::json(nullptr)},
+            {"rate_per_s", account.requestsPerSecond},
+            {"burst", account.burst},
+            {"allowed_regions", std::move(regions)}};
+}
+
+HeaderFields anyIdentityFields()
+{
+    HeaderFields fields;
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+        fields.emplace_back(*rc::gen::element<std::string>("Authorization", "authorization",
+                                                           "Tenant", "TENANT"),
+                            anyText());
+    }
+    return fields;
+}
+
+proto::PeerMessage delegatedMessage()
+{
+    ForwardedRequest request;
+    request.method = "GET";
+    request.path = "/a";
+    request.requestId = anyText();
+    request.fields = {{"X", anyText()}};
+    request.identityFields = anyIdentityFields();
+    request.account = *rc::gen::arbitrary<bool>() ? anyName() : "";
+    DelegatedRequest query;
+    query.request = std::make_shared<const ForwardedRequest>(std::move(request));
+    return *writeDelegatedRequest(query, "b", "127.0.0.1:2");
+}
+
+} // namespace
+
+TEST_CASE("Client accounts of a configuration are read as they were written")
+{
+    rc::prop("every field is kept", [] {
+        nlohmann::json list = nlohmann::json::array();
+        std::vector<ClientAccount> accounts;
+        for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+            accounts.push_back(anyAccount());
+            list.push_back(accountJson(accounts.back()));
+        }
+        const nlohmann::json document {
+                {"version", 3}, {"routes", nlohmann::json::array()}, {"tenants", list}};
+        const RoutingConfigPtr config = wire::readConfig(document.dump()).value();
+        RC_ASSERT(config->accounts.size() == accounts.size());
+        for (std::size_t i = 0; i < accounts.size(); ++i) {
+            const ClientAccount &read = config->accounts[i];
+            RC_ASSERT(read.name == accounts[i].name);
+            RC_ASSERT(read.keys == accounts[i].keys);
+            RC_ASSERT(read.priority == accounts[i].priority);
+            RC_ASSERT(read.requestsPerSecond == accounts[i].requestsPerSecond);
+            RC_ASSERT(read.burst == accounts[i].burst);
+            RC_ASSERT(read.allowedRegions == accounts[i].allowedRegions);
+        }
+    });
+}
+
+TEST_CASE("A delegated request keeps the account, and its identity fields apart from the others")
+{
+    rc::prop("the fields are told apart", [] {
+        const proto::PeerMessage message = delegatedMessage();
+        const auto event = readDelegationMessage(message);
+        RC_ASSERT(event.has_value());
+        const ForwardedRequest &read = *std::get<RequestDelegated>(*event).query.request;
+        RC_ASSERT(read.account == message.delegated_request().account());
+        RC_ASSERT(read.fields.size() == 1U);
+        const std::size_t sent =
+                static_cast<std::size_t>(message.delegated_request().fields_size()) - 1;
+        RC_ASSERT(read.identityFields.size() == sent);
+    });
+}
+
+TEST_CASE("Mutated messages about accounts are read or refused, never more than that")
+{
+    rc::prop("no mutation ends the process", [] {
+        LearnedState state;
+        state.configVersion = *rc::gen::arbitrary<std::uint64_t>();
+        const std::string valid = *rc::gen::arbitrary<bool>()
+                ? delegatedMessage().SerializeAsString()
+                : writeLearnedState(state, "b", "127.0.0.1:2")->SerializeAsString();
+        proto::PeerMessage message;
+        if (!message.ParseFromString(testing::mutateBytes(valid))) {
+            return;
+        }
+        if (const auto event = readDelegationMessage(message);
+            event && std::holds_alternative<RequestDelegated>(*event)) {
+            for (const auto &[name, value] :
+                 std::get<RequestDelegated>(*event).query.request->fields) {
+                RC_ASSERT(!equalsIgnoringCase(name, "Authorization"));
+                RC_ASSERT(!equalsIgnoringCase(name, "Tenant"));
+            }
+        }
+        readLearnedState(message);
+    });
+}
