--- a/operator/command_error.cpp
+++ b/operator/command_error.cpp
@@ -44,6 +44,13 @@
             "check the path and its permissions"};
 }
 
+CommandError describe(const FaultyConfig &config)
+{
+    return {ExitCode::InvalidInput, "faulty-config",
+            "the configuration has " + std::to_string(config.findings) + " findings",
+            "nothing was applied; docs/OPERATIONS.md tells what each kind means"};
+}
+
 CommandError describe(const CatalogueConflict &conflict)
 {
     CommandError error {ExitCode::Conflict, "conflict",
@@ -199,6 +206,7 @@
                 return ExitCode::Done;
             },
             [&](const UsageError &failure) { return report(failure); },
+            [&](const FaultyConfig &failure) { return report(failure); },
             [&](const CatalogueConflict &failure) { return report(failure); },
             [&](const RevisionAhead &failure) { return report(failure); },
             [&](const CatalogueBusy &failure) { return report(failure); },
--- a/operator/command_error.h
+++ b/operator/command_error.h
@@ -42,6 +42,12 @@
     InstanceId id;
 };
 
+/// A configuration can be read, but something is wrong with it; the findings were written.
+struct FaultyConfig
+{
+    std::size_t findings = 0;
+};
+
 /// An error as it is shown to the operator.
 struct CommandError
 {
--- a/operator/command_line.cpp
+++ b/operator/command_line.cpp
@@ -32,6 +32,7 @@
     TimeoutMs,
     PatienceMs,
     Limit,
+    Against,
 };
 
 constexpr auto options = std::to_array<option>({
@@ -47,6 +48,7 @@
         {"timeout-ms", required_argument, nullptr, TimeoutMs},
         {"patience-ms", required_argument, nullptr, PatienceMs},
         {"limit", required_argument, nullptr, Limit},
+        {"against", required_argument, nullptr, Against},
         {nullptr, 0, nullptr, 0},
 });
 
@@ -126,6 +128,9 @@
     case Author:
         line.author = optarg;
         return {};
+    case Against:
+        line.against = optarg;
+        return {};
     case ExpectRevision: {
         BOOST_LEAF_AUTO(revision, parseNumber("--expect-revision", optarg, 999'999'999'999));
         line.expectRevision = Revision {revision};
@@ -202,6 +207,7 @@
   catalogue history           the last changes
   status                      every entry instance, with a latency histogram per class
   drain INSTANCE              start a graceful stop of an entry instance
+  check-config FILE           what is wrong with a configuration of routes; no key is printed
   explain ID [FILE...]        what happened to a request, from log lines; reads stdin without files
 
 Options:
@@ -213,6 +219,7 @@
   --expect-revision N         refuse when an entry of the change was changed after revision N
   --wait [SECONDS]            wait until a change is in force on every live instance, or a drained
                               instance has stopped; 11 s by default
+  --against FILE              also print what the checked configuration changes in this one
   --limit N                   number of changes that the history shows; 20 by default
   --timeout-ms N              timeout of a single call; 1000 by default
   --patience-ms N             how long a change without a reply is retried; 10000 by default
--- a/operator/command_line.h
+++ b/operator/command_line.h
@@ -28,6 +28,8 @@
     Duration retryTimeout = std::chrono::seconds(10);
     /// The number of changes that the history shows.
     std::uint64_t limit = 20;
+    /// The configuration in force, with which check-config compares; empty if there is none.
+    std::string against;
     /// The command and its operands, for example {"catalogue", "put", "entry.json"}.
     std::vector<std::string> positionalArguments;
 };
--- a/operator/commands.cpp
+++ b/operator/commands.cpp
@@ -3,6 +3,7 @@
 #include "core/catalogue_codec.h"
 #include "core/errors.h"
 #include "operator/catalogue_client.h"
+#include "operator/check_config.h"
 #include "operator/command_error.h"
 #include "operator/entry_input.h"
 #include "operator/explain.h"
@@ -376,7 +377,11 @@
     if (command == "explain") {
         return explain(line, out);
     }
-    return leaf::new_error(UsageError {"the commands are catalogue, status, drain and explain"});
+    if (command == "check-config") {
+        return checkConfigFile(line, out);
+    }
+    return leaf::new_error(
+            UsageError {"the commands are catalogue, status, drain, check-config and explain"});
 }
 
 } // namespace lagoondeck
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -105,6 +105,13 @@
     if (reason == "no-route") {
         return "no route of the configuration in force matches its host and path";
     }
+    if (reason == "unknown-key") {
+        return "the request had no key of a client account in the configuration in force";
+    }
+    if (reason == "unconfirmed-configuration") {
+        return "the instance had started and not yet made sure that its configuration is the one "
+               "in force";
+    }
     if (reason == "no-target") {
         return "no target was available; the instance had last heard from the store " + age
                 + " ms earlier";
