Keep the use of capped accounts within their caps in the whole fleet

The configuration names a rate and a burst for an account, and nothing kept them. Without a majority a local allowance decides, whose sum over the fleet stays within what the bound permits beyond the cap.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -109,6 +109,12 @@
          "why."},
         {LogEvent::LogLinesDropped, "LogLinesDropped", LogSeverity::Warning,
          "Log lines were dropped because there were too many or the log was not read."},
+        {LogEvent::AccountCapReached, "AccountCapReached", LogSeverity::Info,
+         "A client account has used what it may use in the whole fleet; its requests are refused."},
+        {LogEvent::AccountHoldersLost, "AccountHoldersLost", LogSeverity::Warning,
+         "No majority of the holders of an account's cap answers; a local allowance decides."},
+        {LogEvent::AccountHoldersFound, "AccountHoldersFound", LogSeverity::Info,
+         "A majority of the holders of an account's cap answers again."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -63,6 +63,9 @@
     RequestServed = 600,
     RequestTroubled = 601,
     LogLinesDropped = 610,
+    AccountCapReached = 700,
+    AccountHoldersLost = 701,
+    AccountHoldersFound = 702,
 };
 
 /// The documentation of a log event.
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -108,6 +108,14 @@
     writeCounter(writer, "lagoondeck_limit_requests_borrowed_total",
                  "Requests at limited targets that other members lent.",
                  status.limitedAttempts.borrowed);
+    writer.begin("lagoondeck_account_decisions_total", MetricKind::Counter,
+                 "Requests of capped client accounts by what decided on them: a granted token, a "
+                 "refusal, or, of both, the local allowance.");
+    for (const auto &[account, decisions] : status.accountUsage) {
+        writer.sample({{"account", account}, {"decision", "granted"}}, decisions.granted);
+        writer.sample({{"account", account}, {"decision", "refused"}}, decisions.refused);
+        writer.sample({{"account", account}, {"decision", "local"}}, decisions.local);
+    }
     writeGauge(writer, "lagoondeck_coordinator",
                "1 when the instance is one of the fleet's coordinators.",
                status.isCoordinator ? 1 : 0);
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/os/clock.h"
 #include "core/os/process_signals.h"
+#include "drivers/edge/account_messages.h"
 #include "drivers/edge/delegation_messages.h"
 #include "drivers/edge/learned_state_messages.h"
 #include "drivers/edge/peer_messages.h"
@@ -101,6 +102,12 @@
             if (auto state = readLearnedState(*received->message)) {
                 this->pendingEvents.push_back(std::move(*state));
             }
+            if (auto asked = readAccountAsk(*received->message)) {
+                this->pendingEvents.push_back(std::move(*asked));
+            }
+            if (auto granted = readAccountGrant(*received->message)) {
+                this->pendingEvents.push_back(std::move(*granted));
+            }
             if (auto delegation = readDelegationMessage(*received->message)) {
                 this->pendingEvents.push_back(std::move(*delegation));
             }
@@ -506,6 +513,19 @@
             writeLearnedState(effect.state, this->settings.id.value, this->settings.peerAddress));
 }
 
+void GatewayNode::execute(AskAccountTokens &effect)
+{
+    this->peers.send(effect.receiver,
+                     writeAccountAsk(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
+void GatewayNode::execute(GrantAccountTokens &effect)
+{
+    this->peers.send(
+            effect.receiver,
+            writeAccountGrant(effect, this->settings.id.value, this->settings.peerAddress));
+}
+
 void GatewayNode::execute(SendInquiry &effect)
 {
     this->peers.send(
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -88,6 +88,8 @@
     void execute(LendLimit &effect);
     void execute(RequestLearnedState &effect);
     void execute(SendLearnedState &effect);
+    void execute(AskAccountTokens &effect);
+    void execute(GrantAccountTokens &effect);
     void execute(SendInquiry &effect);
     void execute(SendOffer &effect);
     void execute(DelegateRequest &effect);
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -26,7 +26,8 @@
       storeSync(settings, this->targets), registration(settings),
       forwarder(this->targets, this->path, settings.retries, settings.logSampleOneIn),
       delegator(settings.failureDomain, settings.logSampleOneIn, this->random()),
-      intake(delegationCapacity(settings)), quarantineRecorder(settings)
+      intake(delegationCapacity(settings)), quarantineRecorder(settings),
+      accountCaps(settings.id, settings.firstStart)
 { }
 
 std::vector<GatewayEffect> Gateway::apply(const GatewayEvent &event, Instant now)
@@ -36,6 +37,7 @@
     std::visit([&](const auto &body) { this->on(body, context); }, event);
     this->applyPathChange(context);
     this->passOnRequests(context);
+    this->accountCaps.sendAsks(context);
     this->requestBudget(context);
     this->targets.limits().loans().sendRequests(context);
     this->reportCrashes(context);
@@ -48,6 +50,7 @@
     this->targets.setInstanceCount(assumedInstances);
     this->targets.setFailureDomain(this->settings.failureDomain);
     this->targets.limits().setSelf(this->settings.id);
+    this->accountCaps.start(context.now);
     if (!this->settings.firstStart) {
         this->targets.setSlackAvailableAt(context.now + this->settings.retries.window);
     }
@@ -77,17 +80,27 @@
     std::optional<AdmittedRequest> request =
             this->forwarder.admit(event, *this->storeSync.routes(),
                                   context.now - this->storeSync.lastConfirmedAt(), context);
-    if (request && this->refuseIfTooLate(*request, context)) {
+    if (!request || this->refuseIfTooLate(*request, context)) {
         return;
     }
-    if (request && request->route->gathers()) {
+    if (AccountCaps::decides(*request)) {
+        this->accountCaps.submit(std::move(*request), context);
+    } else {
+        this->serve(std::move(*request), context);
+    }
+}
+
+void Gateway::serve(AdmittedRequest arrived, GatewayContext &context)
+{
+    std::optional<AdmittedRequest> request = std::move(arrived);
+    if (request->route->gathers()) {
         this->gatheredRate.add(context.now);
     }
-    if (request && !this->path.carriesRequest(context)) {
+    if (!this->path.carriesRequest(context)) {
         this->requestHelp(std::move(*request), context);
         return;
     }
-    if (request && request->route->gathers() && this->shouldDelegate(context.now)) {
+    if (request->route->gathers() && this->shouldDelegate(context.now)) {
         request =
                 this->delegator.delegate(std::move(*request), this->ranking(context.now), context);
     }
@@ -171,6 +184,11 @@
 
 void Gateway::passOnRequests(GatewayContext &context)
 {
+    for (AdmittedRequest &request : this->accountCaps.takeAdmitted()) {
+        if (!this->refuseIfTooLate(request, context)) {
+            this->serve(std::move(request), context);
+        }
+    }
     for (AdmittedRequest &request : this->delegator.takeReturned()) {
         if (!this->refuseIfTooLate(request, context)) {
             this->startReturned(std::move(request), context);
@@ -230,9 +248,22 @@
     this->forwarder.onDelegationCancelled(event, context);
 }
 
+void Gateway::on(const AccountTokensAsked &event, GatewayContext &context)
+{
+    if (const RouteTable *routes = this->readyRoutes()) {
+        this->accountCaps.onAsked(event, routes->accounts(), context);
+    }
+}
+
+void Gateway::on(const AccountTokensGranted &event, GatewayContext &context)
+{
+    this->accountCaps.onGranted(event, context);
+}
+
 void Gateway::on(const CallerLeft &event, GatewayContext &context)
 {
-    if (!this->delegator.onCallerLeft(event.exchange, context)) {
+    if (!this->accountCaps.onCallerLeft(event.exchange, context)
+        && !this->delegator.onCallerLeft(event.exchange, context)) {
         this->forwarder.onCallerLeft(event.exchange, context);
     }
 }
@@ -442,6 +473,7 @@
 {
     if (this->recentMembers.update(this->storeSync.members(), now)) {
         this->targets.limits().setMembers(this->recentMembers.all());
+        this->accountCaps.setMembers(this->recentMembers.all(), now);
         this->helpers.setMembers(this->recentMembers.all(), this->settings.id,
                                  this->settings.failureDomain);
     }
@@ -458,6 +490,7 @@
     this->registration.onTimer(context);
     this->learnedState.onTimer(context);
     this->quarantineRecorder.onTimer(context);
+    this->accountCaps.onTimer(context);
     this->delegator.onTimer(context);
     this->forwarder.onTimer(context);
     this->path.onTimer(context);
@@ -482,7 +515,8 @@
     context.log(LogEvent::Stopping,
                 {numberField("requests",
                              static_cast<std::int64_t>(this->forwarder.exchangesInFlight()
-                                                       + this->delegator.size()))});
+                                                       + this->delegator.size()
+                                                       + this->accountCaps.size()))});
 }
 
 Instant Gateway::nextTimer() const
@@ -490,7 +524,8 @@
     return std::min({this->quarantineRecorder.nextTimer(), this->storeSync.nextTimer(),
                      this->registration.nextTimer(), this->learnedState.nextTimer(),
                      this->delegator.nextTimer(), this->forwarder.nextTimer(),
-                     this->path.nextTimer(), this->targets.limits().nextTimer()});
+                     this->path.nextTimer(), this->targets.limits().nextTimer(),
+                     this->accountCaps.nextTimer()});
 }
 
 CallerLimits Gateway::limits() const
@@ -508,7 +543,8 @@
             this->storeSync.routes() == nullptr ? 0 : this->storeSync.routes()->config()->version;
     status.targets = this->targets.size();
     status.members = this->storeSync.members().size();
-    status.exchanges = this->forwarder.exchangesInFlight() + this->delegator.size();
+    status.exchanges =
+            this->forwarder.exchangesInFlight() + this->delegator.size() + this->accountCaps.size();
     status.attempts = this->forwarder.attemptsInFlight();
     status.storeUnavailable = this->storeSync.storeHealth().isUnavailable();
     status.counts = this->forwarder.counts();
@@ -516,6 +552,7 @@
     status.coordinated = this->intake.takenCount();
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
+    status.accountUsage = this->accountCaps.usage();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
     if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway_settings.h"
+#include "logic/accounts/account_caps.h"
 #include "logic/gateway/coordinator_ranking.h"
 #include "logic/gateway/delegation_intake.h"
 #include "logic/gateway/forwarder.h"
@@ -53,6 +54,8 @@
     /// How many targets limit the requests that they take.
     std::size_t limitedTargets = 0;
     LimitCounts limitedAttempts;
+    /// How the requests of capped accounts were decided.
+    AccountUsage accountUsage;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
@@ -72,7 +75,8 @@
     bool isReady() const { return this->storeSync.isReady() && !this->shutdown.hasBegun(); }
     bool isIdle() const
     {
-        return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0;
+        return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0
+                && this->accountCaps.size() == 0;
     }
     /// The schedule of a requested stop.
     const Shutdown &shutdownSchedule() const { return this->shutdown; }
@@ -104,9 +108,13 @@
     void on(const ReceiptReceived &event, GatewayContext &context);
     void on(const DelegatedAnswerReceived &event, GatewayContext &context);
     void on(const DelegationCancelled &event, GatewayContext &context);
+    void on(const AccountTokensAsked &event, GatewayContext &context);
+    void on(const AccountTokensGranted &event, GatewayContext &context);
     void on(const TimerDue &event, GatewayContext &context);
     void on(const ProcessPaused &event, GatewayContext &context);
     void on(const GatewayStopRequested &event, GatewayContext &context);
+    /// Serves a caller's request here or at another member.
+    void serve(AdmittedRequest request, GatewayContext &context);
     /// Returns the routes, or null if this instance is not ready.
     const RouteTable *readyRoutes() const;
     /// Returns the coordinators that the known members and targets give.
@@ -165,6 +173,7 @@
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
     HelperChoice helpers;
+    AccountCaps accountCaps;
     /// The revisions of the members, targets and configuration that the ranking is computed from.
     std::array<std::uint64_t, 3> rankedRevisions {};
 };
--- a/logic/gateway/gateway_effects.h
+++ b/logic/gateway/gateway_effects.h
@@ -195,12 +195,33 @@
     DelegatedAnswer answer;
 };
 
+/// Asks a holder of accounts' caps for tokens, or returns some. The message may be lost.
+struct AskAccountTokens
+{
+    /// Peer address.
+    std::string receiver;
+    /// Identifies the message; the reply contains it.
+    std::uint64_t number = 0;
+    std::vector<AccountWish> wishes;
+};
+
+/// Replies to a member that asked for tokens.
+struct GrantAccountTokens
+{
+    /// Peer address.
+    std::string receiver;
+    /// The number of the member's message.
+    std::uint64_t number = 0;
+    std::vector<AccountTokens> tokens;
+};
+
 using GatewayEffect =
         std::variant<StartAttempt, CloseAttempt, WithdrawUnsentAttempts, ProbePath, AnswerExchange,
                      CallStore, DropIdleConnections, SendStoreUpdate, RequestBudget, LendBudget,
                      ReportCrash, ReportLimits, RequestLimit, LendLimit, RequestLearnedState,
                      SendLearnedState, SendInquiry, SendOffer, DelegateRequest, CancelDelegation,
-                     SendReceipt, SendDelegatedAnswer, WriteLog>;
+                     SendReceipt, SendDelegatedAnswer, AskAccountTokens, GrantAccountTokens,
+                     WriteLog>;
 
 /// The time, effects, random numbers and ids that the parts of the gateway use while one event is
 /// applied.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -3,6 +3,7 @@
 #include "core/http_message.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "logic/accounts/account_tokens.h"
 #include "logic/gateway/delegation.h"
 #include "logic/gateway/exchange_id.h"
 #include "logic/gateway/learned_state.h"
@@ -276,6 +277,26 @@
     std::uint64_t number = 0;
 };
 
+/// A member asks this instance, as a holder of accounts' caps, for tokens.
+struct AccountTokensAsked
+{
+    /// The member's peer address.
+    std::string sender;
+    /// Identifies the message; the reply contains it.
+    std::uint64_t number = 0;
+    std::vector<AccountWish> wishes;
+};
+
+/// A holder of accounts' caps replies to this instance.
+struct AccountTokensGranted
+{
+    /// The holder's peer address.
+    std::string sender;
+    /// The number of the message that the holder replies to.
+    std::uint64_t number = 0;
+    std::vector<AccountTokens> tokens;
+};
+
 /// The time returned by Gateway::nextTimer() was reached.
 struct TimerDue
 {
@@ -303,6 +324,7 @@
                      BudgetLent, CrashReported, LimitsReported, LimitRequested, LimitLent,
                      LearnedStateRequested, LearnedStateReceived, InquiryReceived, OfferReceived,
                      RequestDelegated, ReceiptReceived, DelegatedAnswerReceived,
-                     DelegationCancelled, TimerDue, ProcessPaused, GatewayStopRequested>;
+                     DelegationCancelled, AccountTokensAsked, AccountTokensGranted, TimerDue,
+                     ProcessPaused, GatewayStopRequested>;
 
 } // namespace lagoondeck
--- a/logic/gateway/limit_holders.cpp
+++ b/logic/gateway/limit_holders.cpp
@@ -1,14 +1,11 @@
 #include "logic/gateway/limit_holders.h"
 
+#include "logic/accounts/rendezvous_rank.h"
 #include "logic/gateway/limit_constants.h"
 
 #include <algorithm>
 #include <cstddef>
-#include <cstdint>
 #include <functional>
-#include <string>
-#include <utility>
-#include <xxhash.h>
 
 namespace lagoondeck {
 
@@ -19,16 +16,10 @@
     if (requests >= static_cast<double>(candidates.size())) {
         return candidates;
     }
-    std::vector<std::pair<std::uint64_t, const MemberRecord *>> ranked;
-    ranked.reserve(candidates.size());
-    for (const MemberRecord &member : candidates) {
-        const std::string text = target.value + "|" + member.id.value;
-        ranked.emplace_back(XXH3_64bits(text.data(), text.size()), &member);
-    }
+    std::vector<RankedMember> ranked = rendezvousRanks(candidates, target.value);
     const std::size_t count = std::max<std::size_t>(static_cast<std::size_t>(requests), 1);
     std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                              std::greater {},
-                              &std::pair<std::uint64_t, const MemberRecord *>::first);
+                              std::greater {}, &RankedMember::first);
     std::vector<MemberRecord> holders;
     for (std::size_t i = 0; i < count; ++i) {
         holders.push_back(*ranked[i].second);
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -116,6 +116,13 @@
         return "the targets limit their requests, and nothing was left for it: "
                 + describeMissingParts(line);
     }
+    if (reason == "account-cap-reached") {
+        const std::string account = line.value("account", "");
+        return line.value("decidedBy", "") == "allowance"
+                ? "too few holders of the cap of the account " + account
+                        + " answered, and the instance's own allowance was used up"
+                : "the account " + account + " has used what it may use in the whole fleet";
+    }
     if (reason == "target-failed") {
         return "its target ran it and failed, and the failure was forwarded to the caller";
     }
--- a/tests/logic/gateway/gateway_fixture.h
+++ b/tests/logic/gateway/gateway_fixture.h
@@ -86,6 +86,10 @@
                 this->learnedStateRequests.push_back(*request);
             } else if (auto *learned = std::get_if<SendLearnedState>(&effect)) {
                 this->learnedStates.push_back(*learned);
+            } else if (auto *ask = std::get_if<AskAccountTokens>(&effect)) {
+                this->accountAsks.push_back(*ask);
+            } else if (auto *grant = std::get_if<GrantAccountTokens>(&effect)) {
+                this->accountGrants.push_back(*grant);
             } else if (auto *loan = std::get_if<LendBudget>(&effect)) {
                 this->grantedLoans.push_back(*loan);
             }
@@ -258,6 +262,8 @@
     std::vector<RequestLimit> limitRequests;
     std::vector<RequestLearnedState> learnedStateRequests;
     std::vector<SendLearnedState> learnedStates;
+    std::vector<AskAccountTokens> accountAsks;
+    std::vector<GrantAccountTokens> accountGrants;
     std::vector<WriteLog> logs;
     /// The path of the requests that are sent next.
     CallerPath path;
--- a/tests/operator/test_explain.cpp
+++ b/tests/operator/test_explain.cpp
@@ -53,13 +53,24 @@
 {
     for (const char *reason :
          {"no-configuration", "no-route", "no-target", "target-failed", "targets-limited",
-          "read-late", "targets-failed", "deadline-passed", "caller-left"}) {
+          "account-cap-reached", "read-late", "targets-failed", "deadline-passed", "caller-left"}) {
         CHECK(describeCause({{"reason", reason}}) != "nothing went wrong");
     }
     CHECK(describeCause({{"reason", "complete"}, {"outcome", "late"}, {"objectiveMs", 60}})
           == "its last part answered after the objective of 60 ms");
 }
 
+TEST_CASE("the cause of a refusal by a cap names the account and tells what decided")
+{
+    for (const char *decidedBy : {"holders", "allowance"}) {
+        const std::string cause = describeCause(
+                {{"reason", "account-cap-reached"}, {"account", "acme"}, {"decidedBy", decidedBy}});
+        CHECK(cause.find("acme") != std::string::npos);
+        CHECK((cause.find("holders") != std::string::npos)
+              == (decidedBy == std::string("allowance")));
+    }
+}
+
 TEST_CASE("the cause of a delegated request's trouble names its coordinator")
 {
     for (const char *reason : {"objective-reached", "coverage-reached", "targets-failed",
