Need all holders of a cap while the data from the store is old

An instance that lost the store keeps the holders that it knows, while the others replace those that they no longer see listed. With two of three holders in a cut part of the fleet, both parts had a majority of their own.

--- a/logic/accounts/account_caps.cpp
+++ b/logic/accounts/account_caps.cpp
@@ -19,6 +19,10 @@
 /// Until the others have registered, the fleet is assumed to have this many instances at least.
 constexpr std::size_t assumedInstances = 8;
 constexpr Duration assumedInstancesPeriod = std::chrono::seconds(5);
+/// An instance whose data from the store is older may not know which holders the others have. The
+/// others replace a holder 16 s after it was cut off at the earliest: its lease of 12 s was renewed
+/// up to 4 s before, and it counts as a member for 8 s more.
+constexpr Duration maxDataAge = std::chrono::seconds(10);
 /// Callers refused by the local allowance may return within this time, spread at random.
 constexpr Duration minLocalRetry = std::chrono::seconds(1);
 constexpr Duration maxLocalRetry = std::chrono::seconds(5);
@@ -95,8 +99,10 @@
 {
     Account &account = this->accountFor(request.account->name);
     const std::uint64_t number = ++this->lastNumber;
-    const auto found =
-            this->running.emplace(number, Decision(this->holderCount(account, context.now))).first;
+    const TokenVote vote(this->holderCount(account, context.now),
+                         request.storeDataAge > maxDataAge ? TokenVote::Quorum::All
+                                                           : TokenVote::Quorum::Majority);
+    const auto found = this->running.emplace(number, Decision(vote)).first;
     Decision &decision = found->second;
     decision.account = request.account->name;
     this->waiting.emplace(request.id, number);
--- a/logic/accounts/account_caps.h
+++ b/logic/accounts/account_caps.h
@@ -77,7 +77,7 @@
     /// The decision on one request, which is kept until all holders have answered.
     struct Decision
     {
-        explicit Decision(std::size_t holders) : vote(holders) { }
+        explicit Decision(TokenVote vote) : vote(vote) { }
 
         TokenVote vote;
         std::string account;
--- a/logic/accounts/token_vote.cpp
+++ b/logic/accounts/token_vote.cpp
@@ -22,7 +22,7 @@
 
 TokenDecision TokenVote::decide(bool isWaitOver) const
 {
-    if (this->granted >= this->majority()) {
+    if (this->granted >= this->majority() && this->hasMajority()) {
         return TokenDecision::Admitted;
     }
     if (this->refused >= this->majority()) {
--- a/logic/accounts/token_vote.h
+++ b/logic/accounts/token_vote.h
@@ -33,13 +33,25 @@
 class TokenVote
 {
 public:
-    explicit TokenVote(std::size_t holders) : holders(holders) { }
+    /// How many holders must answer before a majority of them decides.
+    enum class Quorum {
+        Majority,
+        All, ///< Others may have replaced some of the holders, but not one that answers here.
+    };
+
+    explicit TokenVote(std::size_t holders, Quorum quorum = Quorum::Majority)
+        : holders(holders), quorum(quorum)
+    { }
 
     void add(const TokenAnswer &answer);
     /// If no more answers are waited for, one refusal is enough.
     TokenDecision decide(bool isWaitOver) const;
     /// Returns true if enough holders know the account's cap and have answered.
-    bool hasMajority() const { return this->granted + this->refused >= this->majority(); }
+    bool hasMajority() const
+    {
+        return this->granted + this->refused >= this->majority()
+                && (this->quorum == Quorum::Majority || this->isComplete());
+    }
     /// Returns true if all holders have answered.
     bool isComplete() const
     {
@@ -53,6 +65,7 @@
     std::size_t majority() const { return this->holders / 2 + 1; }
 
     std::size_t holders;
+    Quorum quorum;
     std::size_t granted = 0;
     std::size_t refused = 0;
     std::size_t unknown = 0;
--- a/tests/logic/accounts/account_fleet.cpp
+++ b/tests/logic/accounts/account_fleet.cpp
@@ -135,6 +135,7 @@
         request.account = &account;
         request.arrivedAt = this->now;
         request.deadlineAt = this->now + seconds(1);
+        request.storeDataAge = this->now - this->nodes[instance].storeLostAt.value_or(this->now);
         if (AccountCaps::decides(request)) {
             caps.submit(std::move(request), context);
         } else {
@@ -185,6 +186,16 @@
     }
 }
 
+void AccountFleet::loseStore(const std::vector<std::size_t> &instances)
+{
+    for (Node &node : this->nodes) {
+        node.storeLostAt.reset();
+    }
+    for (const std::size_t instance : instances) {
+        this->nodes[instance].storeLostAt = this->now;
+    }
+}
+
 void AccountFleet::setView(std::size_t instance, const std::vector<std::size_t> &members)
 {
     Node &node = this->nodes[instance];
--- a/tests/logic/accounts/account_fleet.h
+++ b/tests/logic/accounts/account_fleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
     void pause(std::size_t instance, Duration duration);
     /// From now on, no message passes between these instances and the others.
     void cut(const std::vector<std::size_t> &instances);
+    /// From now on the instances hear nothing of the store; it is back after loseStore({}).
+    void loseStore(const std::vector<std::size_t> &instances);
     /// Sets the members that an instance knows.
     void setView(std::size_t instance, const std::vector<std::size_t> &members);
     void setAccount(std::size_t instance, const ClientAccount &account);
@@ -76,6 +79,7 @@
         Instant pausedUntil {};
         std::uint64_t run = 0;
         bool isCut = false;
+        std::optional<Instant> storeLostAt;
     };
 
     using Action = std::function<void(AccountCaps &, GatewayContext &)>;
--- a/tests/logic/accounts/test_account_caps.cpp
+++ b/tests/logic/accounts/test_account_caps.cpp
@@ -196,6 +196,20 @@
     }
 }
 
+TEST_CASE("all three holders must answer if others may have replaced some of them")
+{
+    using Kind = TokenAnswer::Kind;
+    TokenVote vote(3, TokenVote::Quorum::All);
+    vote.add(answer(Kind::Granted));
+    vote.add(answer(Kind::Granted));
+    CHECK(vote.decide(false) == TokenDecision::Undecided);
+    CHECK(vote.decide(true) == TokenDecision::NoMajority);
+    CHECK_FALSE(vote.hasMajority());
+    vote.add(answer(Kind::Refused));
+    CHECK(vote.decide(false) == TokenDecision::Admitted);
+    CHECK(vote.hasMajority());
+}
+
 TEST_CASE("the local allowances of a fleet stay within what the bound permits beyond the cap")
 {
     for (const auto &[rate, burst] :
--- a/tests/logic/accounts/test_account_fleet.cpp
+++ b/tests/logic/accounts/test_account_fleet.cpp
@@ -197,6 +197,48 @@
     }
 }
 
+TEST_CASE("the bound holds when the fleet replaces holders that are only cut off")
+{
+    for (const ClientAccount &account : accounts) {
+        for (const std::size_t holders : {1, 2}) {
+            for (const bool isFifthAtStore : {false, true}) {
+                AccountFleet fleet(account);
+                const double demand = overload * account.requestsPerSecond;
+                const std::vector<std::size_t> fifth = fifthWith(fleet, holders);
+                const std::vector<std::size_t> rest = without(fleet.all(), fifth);
+                fleet.send(demand, seconds(10), fleet.all());
+                fleet.cut(fifth);
+                fleet.loseStore(isFifthAtStore ? rest : fifth);
+                fleet.send(demand, seconds(16), fleet.all());
+                const std::vector<std::size_t> &connected = isFifthAtStore ? fifth : rest;
+                for (const std::size_t i : connected) {
+                    fleet.setView(i, connected);
+                }
+                fleet.send(demand, seconds(20), fleet.all());
+                fleet.cut({});
+                fleet.loseStore({});
+                for (const std::size_t i : connected) {
+                    fleet.setView(i, fleet.all());
+                }
+                fleet.send(demand, seconds(10), fleet.all());
+                CAPTURE(holders, isFifthAtStore);
+                checkBound(fleet, account);
+            }
+        }
+    }
+}
+
+TEST_CASE("nobody is refused up to the cap while the store is away")
+{
+    for (const ClientAccount &account : accounts) {
+        AccountFleet fleet(account);
+        fleet.loseStore(fleet.all());
+        fleet.send(account.requestsPerSecond, seconds(60), {5, 40});
+        CAPTURE(account.requestsPerSecond, account.burst);
+        CHECK(fleet.retries.empty());
+    }
+}
+
 TEST_CASE("a lowered cap is kept one window after all instances know it")
 {
     const ClientAccount before = capped(70.0, 70.0);
