Test the replacement of holders that are only cut off

Two of three cases hold the bound of a cap. When all three holders are in a fifth that lost the store and the rest, both parts grant the cap: 704 requests in 5 s at a cap of 70/s, 405 are allowed.

--- a/tests/logic/accounts/test_account_fleet.cpp
+++ b/tests/logic/accounts/test_account_fleet.cpp
@@ -42,6 +42,33 @@
     CHECK(static_cast<double>(fleet.mostServed()) <= AccountFleet::bound(account));
 }
 
+/// Cuts off a fifth of the fleet, with so many of the holders, until the part that reaches the
+/// store has replaced the members of the other one, and for 20 s more.
+void checkReplacement(const ClientAccount &account, std::size_t holders, bool isFifthAtStore)
+{
+    AccountFleet fleet(account);
+    const double demand = overload * account.requestsPerSecond;
+    const std::vector<std::size_t> fifth = fifthWith(fleet, holders);
+    const std::vector<std::size_t> rest = without(fleet.all(), fifth);
+    const std::vector<std::size_t> &connected = isFifthAtStore ? fifth : rest;
+    fleet.send(demand, seconds(10), fleet.all());
+    fleet.cut(fifth);
+    fleet.loseStore(isFifthAtStore ? rest : fifth);
+    fleet.send(demand, seconds(16), fleet.all());
+    for (const std::size_t i : connected) {
+        fleet.setView(i, connected);
+    }
+    fleet.send(demand, seconds(20), fleet.all());
+    fleet.cut({});
+    fleet.loseStore({});
+    for (const std::size_t i : connected) {
+        fleet.setView(i, fleet.all());
+    }
+    fleet.send(demand, seconds(10), fleet.all());
+    CAPTURE(holders, isFifthAtStore);
+    checkBound(fleet, account);
+}
+
 } // namespace
 
 TEST_CASE("a fleet serves the cap and no more when the callers want eight times as much")
@@ -54,7 +81,7 @@
             fleet.send(overload * account.requestsPerSecond, seconds(60), entries);
             checkBound(fleet, account);
             const double cap = 60.0 * account.requestsPerSecond + account.burst;
-            CAPTURE(isAtTwo, cap);
+            CAPTURE(isAtTwo, cap, fleet.messages);
             CHECK(static_cast<double>(fleet.served.size()) >= 0.9 * cap);
             CHECK(static_cast<double>(fleet.served.size())
                   <= cap + 2.0 + 0.06 * account.requestsPerSecond);
@@ -72,6 +99,8 @@
             fleet.send(account.requestsPerSecond, seconds(60), entries);
             CAPTURE(account.requestsPerSecond, account.burst, entries.size());
             CHECK(fleet.retries.empty());
+            // Three holders are asked and answer.
+            CHECK(fleet.messages <= 6 * fleet.served.size());
         }
     }
 }
@@ -201,30 +230,19 @@
 {
     for (const ClientAccount &account : accounts) {
         for (const std::size_t holders : {1, 2}) {
-            for (const bool isFifthAtStore : {false, true}) {
-                AccountFleet fleet(account);
-                const double demand = overload * account.requestsPerSecond;
-                const std::vector<std::size_t> fifth = fifthWith(fleet, holders);
-                const std::vector<std::size_t> rest = without(fleet.all(), fifth);
-                fleet.send(demand, seconds(10), fleet.all());
-                fleet.cut(fifth);
-                fleet.loseStore(isFifthAtStore ? rest : fifth);
-                fleet.send(demand, seconds(16), fleet.all());
-                const std::vector<std::size_t> &connected = isFifthAtStore ? fifth : rest;
-                for (const std::size_t i : connected) {
-                    fleet.setView(i, connected);
-                }
-                fleet.send(demand, seconds(20), fleet.all());
-                fleet.cut({});
-                fleet.loseStore({});
-                for (const std::size_t i : connected) {
-                    fleet.setView(i, fleet.all());
-                }
-                fleet.send(demand, seconds(10), fleet.all());
-                CAPTURE(holders, isFifthAtStore);
-                checkBound(fleet, account);
-            }
+            checkReplacement(account, holders, false);
+            checkReplacement(account, holders, true);
         }
+        checkReplacement(account, 3, true);
+    }
+}
+
+// Fails: the part that lost the store can't tell that the others have replaced all holders.
+TEST_CASE("the bound holds when the fleet replaces all holders and they are only cut off",
+          "[.known-red]")
+{
+    for (const ClientAccount &account : accounts) {
+        checkReplacement(account, 3, false);
     }
 }
 
