--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway_settings.h"
+#include "logic/accounts/account_caps.h"
 #include "logic/accounts/config_confirmation.h"
 #include "logic/gateway/coordinator_ranking.h"
 #include "logic/gateway/delegation_intake.h"
@@ -55,6 +56,8 @@
     /// How many targets limit the requests that they take.
     std::size_t limitedTargets = 0;
     LimitCounts limitedAttempts;
+    /// How the requests of capped accounts were decided.
+    AccountUsage accountUsage;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
@@ -79,7 +82,8 @@
     }
     bool isIdle() const
     {
-        return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0;
+        return this->forwarder.exchangesInFlight() == 0 && this->delegator.size() == 0
+                && this->accountCaps.size() == 0;
     }
     /// The schedule of a requested stop.
     const Shutdown &shutdownSchedule() const { return this->shutdown; }
@@ -114,9 +118,13 @@
     void on(const ReceiptReceived &event, GatewayContext &context);
     void on(const DelegatedAnswerReceived &event, GatewayContext &context);
     void on(const DelegationCancelled &event, GatewayContext &context);
+    void on(const AccountTokensAsked &event, GatewayContext &context);
+    void on(const AccountTokensGranted &event, GatewayContext &context);
     void on(const TimerDue &event, GatewayContext &context);
     void on(const ProcessPaused &event, GatewayContext &context);
     void on(const GatewayStopRequested &event, GatewayContext &context);
+    /// Serves a caller's request here or at another member.
+    void serve(AdmittedRequest request, GatewayContext &context);
     /// Refuses a request that arrived before this instance may admit any.
     void refuseNotReady(const RequestArrived &event, EndReason reason, const char *detail,
                         GatewayContext &context);
@@ -179,6 +187,7 @@
     /// The members among which fleet-wide limits are divided.
     RecentMembers recentMembers;
     HelperChoice helpers;
+    AccountCaps accountCaps;
     /// The revisions of the members, targets and configuration that the ranking is computed from.
     std::array<std::uint64_t, 3> rankedRevisions {};
 };
