Send nothing to the targets of failure domains that are evacuated

Cause: the key op/evacuate/DOMAIN was decoded and kept, but had no effect.

Change: a target of an evacuated domain counts as unusable, which covers every choice of a target, the covering domains and the coordinators. Parts that wait in a group without a replica are given up when the evacuation begins, and a gathered query that can't be complete is refused before anything is sent. Updates between members carry a second digest, of the evacuated domains, because the first one leaves these keys out; a receiver that finds a difference reads everything and tells the sender. Health and covering domains move from target_registry.cpp to logic/placement.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -109,6 +109,17 @@
          "why."},
         {LogEvent::LogLinesDropped, "LogLinesDropped", LogSeverity::Warning,
          "Log lines were dropped because there were too many or the log was not read."},
+        {LogEvent::DomainEvacuated, "DomainEvacuated", LogSeverity::Warning,
+         "A failure domain is evacuated; its targets get no new requests."},
+        {LogEvent::EvacuationEnded, "EvacuationEnded", LogSeverity::Info,
+         "The store no longer lists the evacuation of a failure domain; its targets get requests "
+         "again."},
+        {LogEvent::DomainLost, "DomainLost", LogSeverity::Warning,
+         "Several targets of a failure domain fail and none answers; its targets are avoided."},
+        {LogEvent::DomainReturned, "DomainReturned", LogSeverity::Info,
+         "Targets of a lost failure domain answer again."},
+        {LogEvent::TargetCold, "TargetCold", LogSeverity::Info,
+         "A target is cold; its requests are limited until it is warm."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -63,6 +63,11 @@
     RequestServed = 600,
     RequestTroubled = 601,
     LogLinesDropped = 610,
+    DomainEvacuated = 710,
+    EvacuationEnded = 711,
+    DomainLost = 712,
+    DomainReturned = 713,
+    TargetCold = 714,
 };
 
 /// The documentation of a log event.
--- a/drivers/edge/peer_store_update.cpp
+++ b/drivers/edge/peer_store_update.cpp
@@ -21,6 +21,7 @@
     encodedUpdate.set_origin(update.origin.value);
     encodedUpdate.set_history(update.history);
     encodedUpdate.set_config_version(update.configVersion);
+    encodedUpdate.set_evacuation_digest(update.evacuationDigest);
     encodedUpdate.set_grace_us(update.removalGrace.count());
     for (const StoreChange &change : update.changes) {
         proto::WorldItem &item = *encodedUpdate.add_items();
@@ -50,6 +51,7 @@
     received.update.origin = InstanceId(encodedUpdate.origin());
     received.update.history = encodedUpdate.history();
     received.update.configVersion = encodedUpdate.config_version();
+    received.update.evacuationDigest = encodedUpdate.evacuation_digest();
     received.update.removalGrace = Duration(encodedUpdate.grace_us());
     for (const proto::WorldItem &item : encodedUpdate.items()) {
         received.update.changes.push_back(
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -106,6 +106,8 @@
     void onPaused(Instant now) { this->silentSince = now; }
     /// Called when this instance's path to the targets is down.
     void onPathBroken(GatewayContext &context);
+    /// Abandons the waiting parts of groups that have no replica in use any more.
+    void abandonUnservable(GatewayContext &context);
     /// Closes the attempts that run on connections which fell silent, so that they are tried again
     /// on new ones.
     void closeSilentAttempts(GatewayContext &context);
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -115,6 +115,27 @@
     }
 }
 
+void Forwarder::abandonUnservable(GatewayContext &context)
+{
+    std::set<ExchangeId> changed;
+    for (auto &[id, exchange] : this->exchanges) {
+        for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
+            Part &part = exchange.parts[i];
+            const bool isWaiting =
+                    part.phase == PartPhase::Waiting || part.phase == PartPhase::Borrowing;
+            if (isWaiting && part.runningAttempts.empty()
+                && !TargetRegistry::hasUsable(*part.group)) {
+                part.phase = PartPhase::Abandoned;
+                exchange.recordStep(TraceKind::NoTarget, i, {}, context.now);
+                changed.insert(id);
+            }
+        }
+    }
+    for (const ExchangeId id : changed) {
+        this->advance(id, context);
+    }
+}
+
 bool Forwarder::leaveToMembers(Exchange &exchange, GatewayContext &context)
 {
     if (exchange.isDeclined || this->path.state() == PathState::Up
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -140,8 +140,11 @@
                 *part.group, {exchange.urgencyRank, false}, context.now));
     }
     const auto servable = std::ranges::count(problems, ChoiceProblem::None);
-    const bool isRestricted = std::ranges::any_of(problems, [](ChoiceProblem problem) {
-        return problem == ChoiceProblem::Limited || problem == ChoiceProblem::Paused;
+    // Without a target for a group, the others are asked all the same, unless it was evacuated.
+    const bool isEvacuating = !this->targets.evacuatedDomains().empty();
+    const bool isRestricted = std::ranges::any_of(problems, [&](ChoiceProblem problem) {
+        return problem == ChoiceProblem::Limited || problem == ChoiceProblem::Paused
+                || (problem == ChoiceProblem::NoTarget && isEvacuating);
     });
     if (!isRestricted || exchange.meetsMinimumCoverage(static_cast<std::size_t>(servable))) {
         return false;
@@ -154,6 +157,8 @@
             this->withhold(exchange, i, context);
         } else if (problems[i] == ChoiceProblem::Paused) {
             exchange.recordStep(TraceKind::Paused, i, {}, context.now);
+        } else if (problems[i] == ChoiceProblem::NoTarget) {
+            exchange.recordStep(TraceKind::NoTarget, i, {}, context.now);
         }
     }
     this->fail(exchange, context);
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -283,6 +283,9 @@
     this->quarantineRecorder.onHistory(this->storeSync.history(), context);
     this->applyQuarantines(context);
     this->updateInstances(context.now);
+    if (!this->targets.evacuatedDomains().empty()) {
+        this->forwarder.abandonUnservable(context);
+    }
     if (this->storeSync.isReady() && !this->learnedState.isComplete()) {
         this->learnedState.onMembers(this->storeSync.otherMembers(), context);
     }
@@ -516,6 +519,8 @@
     status.coordinated = this->intake.takenCount();
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
+    status.evacuatedDomains = this->targets.evacuatedDomains().size();
+    status.placement = this->targets.placementCounts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
     if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -53,6 +53,8 @@
     /// How many targets limit the requests that they take.
     std::size_t limitedTargets = 0;
     LimitCounts limitedAttempts;
+    std::size_t evacuatedDomains = 0;
+    PlacementCounts placement;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -116,6 +116,9 @@
     std::uint64_t history = 0;
     /// The configuration that the origin has in force; 0 if not sent.
     std::uint64_t configVersion = 0;
+    /// A hash of the evacuated failure domains that the sender knows at the revision; 0 if it is of
+    /// a version that doesn't know evacuations.
+    std::uint64_t evacuationDigest = 0;
 };
 
 /// Another member sent changes from the store, or requested them.
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -293,6 +293,12 @@
         }
         break;
     case StoreKeyKind::Evacuation:
+        if (change.removed) {
+            this->targets.endEvacuation(FailureDomain(change.id), context);
+        } else {
+            this->targets.beginEvacuation(FailureDomain(change.id), context);
+        }
+        break;
     case StoreKeyKind::Other:
         break;
     }
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -148,8 +148,11 @@
     bool isStateChange(const StoreChange &change) const;
     /// Returns a hash over all keys and their contents, without heartbeats.
     std::uint64_t digest() const;
+    /// Returns a hash of the evacuated failure domains, which are not in the other digest because
+    /// members of an older version don't keep them.
+    std::uint64_t evacuationDigest() const;
     /// Reads the whole store again when a member has a different state at the same revision.
-    void checkDigest(const StoreUpdate &update, GatewayContext &context);
+    void checkDigest(const StoreUpdateReceived &event, GatewayContext &context);
     /// Returns the position of this instance among the members ordered by name, from 0.
     std::ptrdiff_t rank() const;
     /// Returns how long a watch call lets the store wait for a change.
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -87,6 +87,7 @@
     update->origin = this->self;
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
     update->digest = this->digest();
+    update->evacuationDigest = this->evacuationDigest();
     update->configVersion = this->configVersion();
     context.emit(std::move(effect));
 }
@@ -186,7 +187,7 @@
     if (!this->call && !this->health.isUnavailable() && this->rank() > 0) {
         this->nextCallAt = context.now + this->takeoverDelay();
     }
-    this->checkDigest(update, context);
+    this->checkDigest(event, context);
     this->requestNewerConfig(event, context);
 }
 
@@ -222,12 +223,35 @@
     return sum;
 }
 
-void StoreSync::checkDigest(const StoreUpdate &update, GatewayContext &context)
+std::uint64_t StoreSync::evacuationDigest() const
 {
-    if (update.digest == 0 || update.digest == this->digest()
+    std::uint64_t sum = 1;
+    for (const auto &[key, item] : this->knownState) {
+        sum += item.kind == StoreKeyKind::Evacuation ? XXH3_64bits(key.data(), key.size()) : 0;
+    }
+    return sum;
+}
+
+void StoreSync::checkDigest(const StoreUpdateReceived &event, GatewayContext &context)
+{
+    const StoreUpdate &update = event.update;
+    const auto differs = [](std::uint64_t theirs, std::uint64_t own) {
+        return theirs != 0 && theirs != own;
+    };
+    const bool evacuationsDiffer = differs(update.evacuationDigest, this->evacuationDigest());
+    if ((!evacuationsDiffer && !differs(update.digest, this->digest()))
         || context.now - this->digestMismatchAt < digestMismatchInterval) {
         return;
     }
+    if (evacuationsDiffer) {
+        // Either side may have missed a change that a member of an older version left out. The
+        // sender gets no updates that would show it, so it is told.
+        auto comparison = std::make_shared<StoreUpdate>();
+        comparison->history = this->position.history;
+        comparison->fromRevision = comparison->toRevision = this->position.revision;
+        comparison->evacuationDigest = this->evacuationDigest();
+        context.emit(SendStoreUpdate {{event.sender}, std::move(comparison)});
+    }
     this->digestMismatchAt = context.now;
     context.log(LogEvent::BeliefsDiffer,
                 {numberField("storeRevision", static_cast<std::int64_t>(update.toRevision))});
@@ -255,6 +279,14 @@
         this->apply(change, ChangeSource::Listing, context);
         listedKeys.insert(change.key);
     }
+    if (update.evacuationDigest == 0) {
+        // A member of an older version does not keep these keys.
+        for (const auto &[key, item] : this->knownState) {
+            if (item.kind == StoreKeyKind::Evacuation) {
+                listedKeys.insert(key);
+            }
+        }
+    }
     this->position = end;
     this->confirmedAt = context.now;
     this->removeUnlisted(listedKeys, context);
@@ -275,6 +307,7 @@
     update->history = this->position.history;
     update->toRevision = this->position.revision;
     update->isFullState = true;
+    update->evacuationDigest = this->evacuationDigest();
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
     for (const auto &[key, item] : this->knownState) {
         if (item.kind != StoreKeyKind::Config) {
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -1,9 +1,9 @@
 #include "logic/gateway/target_registry.h"
 
+#include "logic/placement/covering_domains.h"
+
 #include <algorithm>
-#include <cmath>
 #include <iterator>
-#include <map>
 #include <random>
 #include <set>
 #include <utility>
@@ -19,23 +19,6 @@
 /// In a fleet with coordinators, the fraction of the cap that is divided among them. They send
 /// nearly all requests.
 constexpr double coordinatorCapFraction = 0.6;
-/// A failure domain covers the gathered groups if it holds at least this fraction of the groups
-/// that the best domain holds.
-constexpr double coveringFraction = 0.9;
-/// The weight of the newest request in the moving averages.
-constexpr double learningRate = 0.25;
-/// The upper limit of one request's contribution to the slowness, so that the effect of a short
-/// pause fades after a few requests.
-constexpr double maxSlownessSample = 5.0;
-/// Learned values lose half their weight in this time, so that a bad target is tried again.
-constexpr std::chrono::duration<double> learningHalfLife = std::chrono::seconds(3);
-/// How long a target is avoided after its first failure. The time doubles with each further failure
-/// in a row.
-constexpr Duration initialAvoidance = std::chrono::milliseconds(50);
-constexpr Duration maxAvoidance = std::chrono::seconds(2);
-constexpr std::uint32_t maxDoublings = 6;
-/// How long a target is avoided after it refused a request because of its load.
-constexpr Duration shedAvoidance = std::chrono::milliseconds(15);
 /// A target counts as stalled if a request has been running for this many times the late threshold.
 constexpr double stallFactor = 1.3;
 constexpr Duration minStallTime = std::chrono::milliseconds(12);
@@ -59,18 +42,6 @@
 /// If more replicas than this are available, only two random ones are compared.
 constexpr std::size_t maxCompared = 4;
 
-/// Returns the remaining weight of the target's learned values, from 1 down to 0.
-double learnedWeight(const TargetNode &target, Instant now)
-{
-    const std::chrono::duration<double> age = now - target.learnedAt;
-    return std::exp2(-age / learningHalfLife);
-}
-
-double currentSlowness(const TargetNode &target, Instant now)
-{
-    return 1.0 + (target.slowness - 1.0) * learnedWeight(target, now);
-}
-
 template <typename Range>
 auto pickRandom(Range &range, RandomEngine &random)
 {
@@ -108,7 +79,7 @@
         if (known.record.startedAtMs == record.startedAtMs && known.record.address == record.address
             && known.record.group == record.group) {
             known.record = record;
-            this->setUsable(known, !record.leaving && !known.hasAnnouncedLeaving);
+            this->updateUsable(known);
             return;
         }
         // Another process runs under the same id, so the learned values are invalid.
@@ -117,19 +88,66 @@
     auto node = std::make_unique<TargetNode>();
     node->record = record;
     node->hasAnnouncedLeaving = this->announcements.isLeaving(record);
-    node->usable = !record.leaving && !node->hasAnnouncedLeaving;
+    node->usable = this->shouldBeUsable(*node);
     node->warmupUntil = now + record.warmupLeft;
     this->group(record.group).targets.push_back(node.get());
     this->targets.emplace(record.id, std::move(node));
     ++this->changes;
 }
 
-void TargetRegistry::setUsable(TargetNode &target, bool usable)
+bool TargetRegistry::shouldBeUsable(const TargetNode &target) const
+{
+    return !target.record.leaving && !target.hasAnnouncedLeaving
+            && !this->evacuations.contains(target.record.failureDomain);
+}
+
+void TargetRegistry::updateUsable(TargetNode &target)
 {
+    const bool usable = this->shouldBeUsable(target);
     this->changes += target.usable != usable ? 1 : 0;
     target.usable = usable;
 }
 
+void TargetRegistry::beginEvacuation(const FailureDomain &domain, GatewayContext &context)
+{
+    if (!this->evacuations.add(domain, context.now)) {
+        return;
+    }
+    context.log(LogEvent::DomainEvacuated,
+                {{"domain", domain.value},
+                 numberField("targets", static_cast<std::int64_t>(this->updateDomain(domain)))});
+}
+
+void TargetRegistry::endEvacuation(const FailureDomain &domain, GatewayContext &context)
+{
+    const auto begunAt = this->evacuations.remove(domain);
+    if (!begunAt) {
+        return;
+    }
+    context.log(LogEvent::EvacuationEnded,
+                {{"domain", domain.value},
+                 numberField("targets", static_cast<std::int64_t>(this->updateDomain(domain))),
+                 numberField("ms", toMilliseconds(context.now - *begunAt))});
+}
+
+std::size_t TargetRegistry::updateDomain(const FailureDomain &domain)
+{
+    std::size_t count = 0;
+    for (const auto &[id, target] : this->targets) {
+        if (target->record.failureDomain == domain) {
+            this->updateUsable(*target);
+            ++count;
+        }
+    }
+    return count;
+}
+
+bool TargetRegistry::hasUsable(const TargetGroup &group)
+{
+    return std::ranges::any_of(group.targets,
+                               [](const TargetNode *target) { return target->usable; });
+}
+
 void TargetRegistry::onReply(TargetNode &target, const ForwardedReply &reply,
                              GatewayContext &context)
 {
@@ -158,7 +176,7 @@
         return;
     }
     this->announcements.addLeaving({target.record.id, target.record.startedAtMs}, context.now);
-    this->setUsable(target, false);
+    this->updateUsable(target);
     context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
 }
 
@@ -187,10 +205,7 @@
 void TargetRegistry::forgetHealth()
 {
     for (const auto &[id, target] : this->targets) {
-        target->slowness = 1.0;
-        target->failureRate = 0.0;
-        target->consecutiveFailures = 0;
-        target->avoidUntil = {};
+        lagoondeck::forgetHealth(*target);
     }
 }
 
@@ -255,29 +270,16 @@
     for (const Route &route : config.routes) {
         gathered.insert(route.gather.begin(), route.gather.end());
     }
-    std::map<FailureDomain, std::size_t> groupsByDomain;
+    std::vector<std::set<FailureDomain>> domainsOfGroups;
     for (const GroupName &name : gathered) {
-        std::set<FailureDomain> domains;
+        std::set<FailureDomain> &domains = domainsOfGroups.emplace_back();
         for (const TargetNode *target : this->group(name).targets) {
             if (target->usable) {
                 domains.insert(target->record.failureDomain);
             }
         }
-        for (const FailureDomain &domain : domains) {
-            ++groupsByDomain[domain];
-        }
-    }
-    std::size_t most = 0;
-    for (const auto &[domain, count] : groupsByDomain) {
-        most = std::max(most, count);
-    }
-    std::vector<FailureDomain> covering;
-    for (const auto &[domain, count] : groupsByDomain) {
-        if (static_cast<double>(count) >= coveringFraction * static_cast<double>(most)) {
-            covering.push_back(domain);
-        }
     }
-    return covering;
+    return lagoondeck::coveringDomains(domainsOfGroups);
 }
 
 bool TargetRegistry::hasCapacity(const TargetNode &target, const TargetGroup &group) const
@@ -406,7 +408,9 @@
     std::vector<TargetNode *> limited;
     TargetNode *earliestAvoided = nullptr;
     ChoiceProblem problem = ChoiceProblem::NoTarget;
+    bool skipsEvacuated = false;
     for (TargetNode *target : group.targets) {
+        skipsEvacuated = skipsEvacuated || this->evacuations.contains(target->record.failureDomain);
         if (!target->usable
             || std::ranges::find(terms.excluded, target->record.id) != terms.excluded.end()) {
             continue;
@@ -430,6 +434,7 @@
             available.push_back(target);
         }
     }
+    this->counts.evacuated += skipsEvacuated ? 1 : 0;
     const CostedTarget best = this->cheapest(std::move(available), terms.latency, now, random);
     if (best.target != nullptr) {
         // What a limit leaves to this instance is used first.
@@ -471,11 +476,7 @@
     this->targetLimits.onSent(target.record.id, cause, now);
     ++target.inFlight;
     target.sendTimes.insert(now);
-    if (target.isFailing()) {
-        // Allows only one trial request at a time until the target answers one.
-        const auto doublings = std::min(target.consecutiveFailures - 1, maxDoublings);
-        target.avoidUntil = now + std::min(initialAvoidance * (1U << doublings), maxAvoidance);
-    }
+    beginTrial(target, now);
 }
 
 void TargetRegistry::onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
@@ -485,36 +486,7 @@
     if (const auto found = target.sendTimes.find(sentAt); found != target.sendTimes.end()) {
         target.sendTimes.erase(found);
     }
-    if (outcome == TargetOutcome::Neutral) {
-        this->removeIdleRetired();
-        return;
-    }
-    const double weight = learnedWeight(target, now);
-    target.slowness = 1.0 + (target.slowness - 1.0) * weight;
-    target.failureRate *= weight;
-    target.learnedAt = now;
-    const bool failed = outcome != TargetOutcome::Answered && outcome != TargetOutcome::Slow
-            && outcome != TargetOutcome::Shed;
-    target.failureRate += learningRate
-            * ((failed || outcome == TargetOutcome::Shed ? 1.0 : 0.0) - target.failureRate);
-    if (outcome == TargetOutcome::Answered || outcome == TargetOutcome::Slow) {
-        const double median = std::max(toFractionalMilliseconds(model.median()), 0.1);
-        const double ratio =
-                std::min(toFractionalMilliseconds(now - sentAt) / median, maxSlownessSample);
-        target.slowness += learningRate * (ratio - target.slowness);
-    }
-    if (outcome == TargetOutcome::Slow) {
-        // It is unknown whether the target would have answered.
-    } else if (outcome == TargetOutcome::Answered) {
-        target.consecutiveFailures = 0;
-        target.avoidUntil = now;
-    } else if (outcome == TargetOutcome::Shed) {
-        target.avoidUntil = std::max(target.avoidUntil, now + shedAvoidance);
-    } else {
-        const auto doublings = std::min(target.consecutiveFailures, maxDoublings);
-        ++target.consecutiveFailures;
-        target.avoidUntil = now + std::min(initialAvoidance * (1U << doublings), maxAvoidance);
-    }
+    learnOutcome(target, sentAt, outcome, model, now);
     this->removeIdleRetired();
 }
 
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -8,6 +8,9 @@
 #include "logic/gateway/target_announcements.h"
 #include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
+#include "logic/placement/evacuated_domains.h"
+#include "logic/placement/placement_counts.h"
+#include "logic/placement/target_health.h"
 
 #include <cstdint>
 #include <memory>
@@ -30,18 +33,6 @@
     RetryBudget budget;
 };
 
-/// How one request at a target ended, as input for the target's health.
-enum class TargetOutcome {
-    Answered,
-    Shed,        ///< The target refused the request because of its load.
-    Failed,      ///< The target replied with an error or with malformed bytes.
-    Lost,        ///< The connection broke.
-    Unreachable, ///< No connection could be made.
-    Silent,      ///< The target did not reply in time.
-    Slow,        ///< Closed by this instance after several times the median latency.
-    Neutral,     ///< Closed by this instance earlier; says nothing about the target.
-};
-
 /// Why no target was chosen. Of several problems the last one in this order counts.
 enum class ChoiceProblem {
     None,
@@ -82,6 +73,11 @@
     void update(const TargetRecord &record, Instant now);
     /// Removes a target. Requests that are still running there end normally.
     void remove(const TargetId &target);
+    /// Called when nothing more may be sent to the targets of a failure domain.
+    void beginEvacuation(const FailureDomain &domain, GatewayContext &context);
+    /// Called when the targets of a failure domain may get requests again.
+    void endEvacuation(const FailureDomain &domain, GatewayContext &context);
+    const EvacuatedDomains &evacuatedDomains() const { return this->evacuations; }
     /// Applies what the configuration says of the groups.
     void setConfig(const RoutingConfig &config);
     /// Sets this instance's failure domain. Targets in other domains cost more.
@@ -101,6 +97,9 @@
     /// there is none and the terms allow it, chooses the one whose avoidance ends first.
     TargetChoice choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
                         RandomEngine &random);
+    /// Returns whether some replica of the group is in use.
+    static bool hasUsable(const TargetGroup &group);
+    const PlacementCounts &placementCounts() const { return this->counts; }
     /// Called when a member reports limits that targets state.
     void onLimitsReported(const std::vector<StatedLimit> &stated, GatewayContext &context);
     /// Requests one request at some limited replica of the group from another member.
@@ -148,10 +147,12 @@
         return this->targets;
     }
     std::size_t instanceCount() const { return this->instances; }
-    /// Returns whether some target limits its requests or asked this instance to pause.
+    /// Returns whether some target limits its requests or asked this instance to pause, or whether
+    /// a failure domain is evacuated.
     bool hasRestrictions(Instant now) const
     {
-        return !this->targetLimits.empty() || now < this->lastPauseEnd;
+        return !this->targetLimits.empty() || now < this->lastPauseEnd
+                || !this->evacuations.empty();
     }
     /// The limits that targets state.
     TargetLimits &limits() { return this->targetLimits; }
@@ -175,7 +176,11 @@
                           Instant now, RandomEngine &random) const;
     void markLeaving(TargetNode &target, GatewayContext &context);
     void detach(TargetNode &target);
-    void setUsable(TargetNode &target, bool usable);
+    /// Returns whether the target may get new requests.
+    bool shouldBeUsable(const TargetNode &target) const;
+    void updateUsable(TargetNode &target);
+    /// Updates the targets of a failure domain. Returns their number.
+    std::size_t updateDomain(const FailureDomain &domain);
     void removeIdleRetired();
 
     std::unordered_map<TargetId, std::unique_ptr<TargetNode>> targets;
@@ -184,6 +189,8 @@
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
     TargetLimits targetLimits;
     TargetAnnouncements announcements;
+    EvacuatedDomains evacuations;
+    PlacementCounts counts;
     /// When the last pause that some target asked for ends.
     Instant lastPauseEnd {};
     FailureDomain failureDomain;
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -70,10 +70,12 @@
     update.toRevision = 5;
     update.history = 3;
     update.configVersion = 12;
+    update.evacuationDigest = 34;
     const auto read = readStoreUpdate(*writeStoreUpdate(update, "b", "127.0.0.1:2"));
     REQUIRE(read);
     CHECK(read->update.history == 3);
     CHECK(read->update.configVersion == 12);
+    CHECK(read->update.evacuationDigest == 34);
 }
 
 TEST_CASE("a report of limits is decoded to the values that were encoded")
