Avoid the targets of a failure domain that does not answer as a whole

Cause: with a domain without power, requests found out one by one which of its targets don't answer.

Change: LostDomains recognises the pattern (three targets that were asked after the domain's last reply fail, while another domain replies and the own path works). The domain's targets then go last, one of them is tried after 0.5 s, 1 s, 2 s and each 4 s, and two replies give the domain back. The cost of a target moves to logic/placement/target_cost.

The fleet test in test_logic_gateway was not run on this commit by itself.

--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -108,6 +108,18 @@
     writeCounter(writer, "lagoondeck_limit_requests_borrowed_total",
                  "Requests at limited targets that other members lent.",
                  status.limitedAttempts.borrowed);
+    writeGauge(writer, "lagoondeck_domains_evacuated",
+               "Failure domains to whose targets nothing is sent, by the operator's keys.",
+               static_cast<double>(status.evacuatedDomains));
+    writeGauge(writer, "lagoondeck_domains_lost",
+               "Failure domains that don't answer this instance and are avoided.",
+               static_cast<double>(status.lostDomains));
+    writer.begin("lagoondeck_choices_held_back_total", MetricKind::Counter,
+                 "Choices of a target, or of none, in which replicas were left out, by reason.");
+    writer.sample({{"reason", "evacuated"}}, status.placement.evacuated);
+    writer.sample({{"reason", "lost"}}, status.placement.lost);
+    writer.sample({{"reason", "cold"}}, status.placement.cold);
+    writer.sample({{"reason", "region"}}, status.placement.farRegion);
     writeGauge(writer, "lagoondeck_coordinator",
                "1 when the instance is one of the fleet's coordinators.",
                status.isCoordinator ? 1 : 0);
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -258,7 +258,7 @@
             : event.kind == AttemptEndKind::Lost   ? TargetOutcome::Lost
                                                    : TargetOutcome::Failed;
     const GatewayAttempt attempt = this->removeAttempt(event.attempt, outcome, context);
-    this->observeEnd(event.kind, attempt.targetId, context);
+    this->observeEnd(event.kind, attempt, context);
     Exchange *exchange = attempt.exchange ? this->find(*attempt.exchange) : nullptr;
     if (exchange != nullptr && !this->dropUnpermitted(*exchange, context)) {
         Part &part = exchange->parts[attempt.part];
@@ -310,7 +310,7 @@
             : isSlow                       ? TargetOutcome::Slow
                                            : TargetOutcome::Neutral;
     const GatewayAttempt attempt = this->removeAttempt(id, outcome, context);
-    this->observeEnd(AttemptEndKind::Closed, attempt.targetId, context);
+    this->observeEnd(AttemptEndKind::Closed, attempt, context);
     context.emit(CloseAttempt {id});
     this->sendWaitingParts(*attempt.group, context);
 }
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -225,7 +225,9 @@
     // Observing the network path to the targets (forwarder_path.cpp).
 
     /// Records how an attempt ended.
-    void observeEnd(AttemptEndKind kind, const TargetId &target, GatewayContext &context);
+    void observeEnd(AttemptEndKind kind, const GatewayAttempt &attempt, GatewayContext &context);
+    /// Looks for lost failure domains if the path works.
+    void findLostDomains(GatewayContext &context);
     void observeReply(const AttemptReplied &event, GatewayContext &context);
     /// Sets the timer for observeSilence() unless it is set.
     void scheduleSilenceCheck(Instant at);
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -27,12 +27,15 @@
 
 } // namespace
 
-void Forwarder::observeEnd(AttemptEndKind kind, const TargetId &target, GatewayContext &context)
+void Forwarder::observeEnd(AttemptEndKind kind, const GatewayAttempt &attempt,
+                           GatewayContext &context)
 {
     switch (kind) {
     case AttemptEndKind::Unreachable:
         ++this->attemptCounts.unreachable;
-        this->path.onConnectFailed(target, context);
+        this->path.onConnectFailed(attempt.targetId, context);
+        this->targets.onUnanswered(attempt.targetId, attempt.sentAt, context);
+        this->findLostDomains(context);
         break;
     case AttemptEndKind::Lost:
         ++this->attemptCounts.lost;
@@ -50,6 +53,14 @@
 {
     ++this->attemptCounts.replied;
     this->path.onReply(event.onNewConnection, context);
+    this->findLostDomains(context);
+}
+
+void Forwarder::findLostDomains(GatewayContext &context)
+{
+    if (this->path.state() == PathState::Up) {
+        this->targets.findLostDomains(context);
+    }
 }
 
 void Forwarder::scheduleSilenceCheck(Instant at)
@@ -66,6 +77,13 @@
         return;
     }
     const Instant heardAt = std::max(this->path.lastReplyAt(), this->silentSince);
+    for (const auto &[id, attempt] : this->attempts) {
+        const Instant countedFrom = std::max(attempt.sentAt, this->silentSince);
+        if (countedFrom + silenceLimit(*attempt.latency) <= context.now) {
+            this->targets.onUnanswered(attempt.targetId, countedFrom, context);
+        }
+    }
+    this->findLostDomains(context);
     if (heardAt != Instant::min() && context.now - heardAt < forwarding::minSilence) {
         this->scheduleSilenceCheck(heardAt + forwarding::minSilence);
         return;
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -520,6 +520,7 @@
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
     status.evacuatedDomains = this->targets.evacuatedDomains().size();
+    status.lostDomains = this->targets.lostDomainCount();
     status.placement = this->targets.placementCounts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -54,6 +54,7 @@
     std::size_t limitedTargets = 0;
     LimitCounts limitedAttempts;
     std::size_t evacuatedDomains = 0;
+    std::size_t lostDomains = 0;
     PlacementCounts placement;
 };
 
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -1,6 +1,7 @@
 #include "logic/gateway/target_registry.h"
 
 #include "logic/placement/covering_domains.h"
+#include "logic/placement/target_cost.h"
 
 #include <algorithm>
 #include <iterator>
@@ -19,26 +20,8 @@
 /// In a fleet with coordinators, the fraction of the cap that is divided among them. They send
 /// nearly all requests.
 constexpr double coordinatorCapFraction = 0.6;
-/// A target counts as stalled if a request has been running for this many times the late threshold.
-constexpr double stallFactor = 1.3;
-constexpr Duration minStallTime = std::chrono::milliseconds(12);
-/// The cost of a stalled target, in addition to the time that its oldest request has been running.
-constexpr double stallCostMs = 60.0;
 /// The wait for a loan of a request at a limited target.
 constexpr double loanCostMs = 10.0;
-/// The cost of a request that is certain to fail; multiplied by the failure rate.
-constexpr double failureCostMs = 120.0;
-/// Traffic between failure domains is charged for. A replica in this instance's domain is preferred
-/// as long as its latency is at most this many times that of a remote replica.
-constexpr double remoteCostFactor = 1.6;
-/// The same for a coordinator. It knows from its own requests whether the replica in its domain is
-/// slow now, so that the preference costs no latency.
-constexpr double coordinatorRemoteCostFactor = 2.5;
-/// The slowness that is assumed at least while a target warms up.
-constexpr double minWarmupSlowness = 1.6;
-/// The random variation of the cost, as a fraction. Without it, all instances would choose the same
-/// one of equal targets.
-constexpr double costJitter = 0.1;
 /// If more replicas than this are available, only two random ones are compared.
 constexpr std::size_t maxCompared = 4;
 
@@ -49,15 +32,6 @@
     return range.begin() + static_cast<std::ptrdiff_t>(any(random));
 }
 
-bool isStalled(const TargetNode &target, const LatencyModel &model, Instant now)
-{
-    if (target.sendTimes.empty()) {
-        return false;
-    }
-    const auto limit = std::chrono::duration_cast<Duration>(model.lateThreshold() * stallFactor);
-    return now - *target.sendTimes.begin() > std::max(limit, minStallTime);
-}
-
 } // namespace
 
 TargetGroup &TargetRegistry::group(const GroupName &name)
@@ -161,6 +135,35 @@
     if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable) {
         this->markLeaving(target, context);
     }
+    const FailureDomain &domain = target.record.failureDomain;
+    if (const auto length = this->lostDomains.onReply(domain, target.record.id, context.now)) {
+        context.log(LogEvent::DomainReturned,
+                    {{"domain", domain.value}, numberField("ms", toMilliseconds(*length))});
+    }
+}
+
+void TargetRegistry::onUnanswered(const TargetId &target, Instant sentAt, GatewayContext &context)
+{
+    if (const auto found = this->targets.find(target); found != this->targets.end()) {
+        this->lostDomains.onFailure(found->second->record.failureDomain, target, sentAt,
+                                    context.now);
+    }
+}
+
+void TargetRegistry::findLostDomains(GatewayContext &context)
+{
+    for (const FailureDomain &domain : this->lostDomains.suspects(context.now)) {
+        const auto usable = std::ranges::count_if(this->targets, [&](const auto &entry) {
+            return entry.second->usable && entry.second->record.failureDomain == domain;
+        });
+        if (this->lostDomains.confirm(domain, static_cast<std::size_t>(usable), context.now)) {
+            context.log(LogEvent::DomainLost,
+                        {{"domain", domain.value},
+                         numberField("failedTargets",
+                                     static_cast<std::int64_t>(this->lostDomains.failedTargets(
+                                             domain, context.now)))});
+        }
+    }
 }
 
 void TargetRegistry::onLeavingReported(const TargetId &target, GatewayContext &context)
@@ -207,6 +210,7 @@
     for (const auto &[id, target] : this->targets) {
         lagoondeck::forgetHealth(*target);
     }
+    this->lostDomains.clear();
 }
 
 std::size_t TargetRegistry::countUsable(std::size_t limit) const
@@ -293,26 +297,6 @@
     return target.inFlight < std::max<std::uint32_t>(static_cast<std::uint32_t>(share), 1U);
 }
 
-double TargetRegistry::cost(const TargetNode &target, const LatencyModel &model, Instant now,
-                            RandomEngine &random) const
-{
-    const double queue = 1.0 + static_cast<double>(target.inFlight) / target.record.slots;
-    double slowness = currentSlowness(target, now)
-            * (target.record.failureDomain == this->failureDomain ? 1.0
-                       : this->isCoordinator                      ? coordinatorRemoteCostFactor
-                                                                  : remoteCostFactor);
-    if (now < target.warmupUntil) {
-        slowness = std::max(slowness, minWarmupSlowness);
-    }
-    std::uniform_real_distribution<double> jitter(1.0 - costJitter, 1.0 + costJitter);
-    double cost = toFractionalMilliseconds(model.median()) * slowness * queue * jitter(random);
-    cost += failureCostMs * target.failureRate * learnedWeight(target, now);
-    if (isStalled(target, model, now)) {
-        cost += stallCostMs + toFractionalMilliseconds(now - *target.sendTimes.begin());
-    }
-    return cost;
-}
-
 void TargetRegistry::onLimitsReported(const std::vector<StatedLimit> &stated,
                                       GatewayContext &context)
 {
@@ -409,6 +393,8 @@
     TargetNode *earliestAvoided = nullptr;
     ChoiceProblem problem = ChoiceProblem::NoTarget;
     bool skipsEvacuated = false;
+    bool skipsLost = false;
+    TargetNode *lostTarget = nullptr;
     for (TargetNode *target : group.targets) {
         skipsEvacuated = skipsEvacuated || this->evacuations.contains(target->record.failureDomain);
         if (!target->usable
@@ -425,6 +411,11 @@
             }
         } else if (!this->hasCapacity(*target, group)) {
             problem = std::max(problem, ChoiceProblem::Busy);
+        } else if (this->lostDomains.isAvoided(target->record.failureDomain, now)) {
+            skipsLost = true;
+            if (lostTarget == nullptr || target->avoidUntil < lostTarget->avoidUntil) {
+                lostTarget = target;
+            }
         } else if (now < target->avoidUntil) {
             problem = ChoiceProblem::Avoided;
             if (earliestAvoided == nullptr || target->avoidUntil < earliestAvoided->avoidUntil) {
@@ -435,6 +426,13 @@
         }
     }
     this->counts.evacuated += skipsEvacuated ? 1 : 0;
+    this->counts.lost += skipsLost ? 1 : 0;
+    if (lostTarget != nullptr && available.empty() && problem != ChoiceProblem::Avoided
+        && problem != ChoiceProblem::Busy) {
+        // A target of a lost domain is the only one that is left.
+        problem = ChoiceProblem::Avoided;
+        earliestAvoided = lostTarget;
+    }
     const CostedTarget best = this->cheapest(std::move(available), terms.latency, now, random);
     if (best.target != nullptr) {
         // What a limit leaves to this instance is used first.
@@ -453,6 +451,13 @@
     return {nullptr, problem, loanTarget};
 }
 
+TargetDistance TargetRegistry::distanceOf(const TargetNode &target) const
+{
+    return target.record.failureDomain == this->failureDomain ? TargetDistance::SameDomain
+            : this->isCoordinator ? TargetDistance::OtherDomainOfCoordinator
+                                  : TargetDistance::OtherDomain;
+}
+
 TargetRegistry::CostedTarget TargetRegistry::cheapest(std::vector<TargetNode *> candidates,
                                                       const LatencyModel &model, Instant now,
                                                       RandomEngine &random) const
@@ -463,7 +468,7 @@
     }
     CostedTarget best;
     for (TargetNode *target : candidates) {
-        const double cost = this->cost(*target, model, now, random);
+        const double cost = targetCost(*target, this->distanceOf(*target), model, now, random);
         if (best.target == nullptr || cost < best.cost) {
             best = {target, cost};
         }
@@ -474,6 +479,7 @@
 void TargetRegistry::onSent(TargetNode &target, TraceKind cause, Instant now)
 {
     this->targetLimits.onSent(target.record.id, cause, now);
+    this->lostDomains.onSent(target.record.failureDomain, now);
     ++target.inFlight;
     target.sendTimes.insert(now);
     beginTrial(target, now);
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -9,6 +9,7 @@
 #include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
 #include "logic/placement/evacuated_domains.h"
+#include "logic/placement/lost_domains.h"
 #include "logic/placement/placement_counts.h"
 #include "logic/placement/target_health.h"
 
@@ -21,6 +22,8 @@
 
 namespace lagoondeck {
 
+enum class TargetDistance;
+
 /// The replicas of one group and the limits that all requests to the group share.
 struct TargetGroup
 {
@@ -116,6 +119,13 @@
     void onSent(TargetNode &target, TraceKind cause, Instant now);
     /// Applies what a target says of itself in a reply.
     void onReply(TargetNode &target, const ForwardedReply &reply, GatewayContext &context);
+    /// Called when no connection to a target could be made, or when the reply to a request that was
+    /// sent at the given time is overdue.
+    void onUnanswered(const TargetId &target, Instant sentAt, GatewayContext &context);
+    /// Looks for failure domains of which no target replies. Must be called only while this
+    /// instance's own path to the targets works.
+    void findLostDomains(GatewayContext &context);
+    std::size_t lostDomainCount() const { return this->lostDomains.lostCount(); }
     /// Returns the targets that said that they are leaving, and the limits that targets state.
     void describe(LearnedState &state, Instant now) const;
     /// Called when a member knows that a process of a target said that it is leaving.
@@ -168,9 +178,7 @@
         double cost = 0.0;
     };
 
-    /// Returns the expected cost of sending a request to the target, in milliseconds of latency.
-    double cost(const TargetNode &target, const LatencyModel &model, Instant now,
-                RandomEngine &random) const;
+    TargetDistance distanceOf(const TargetNode &target) const;
     /// Returns the candidate with the lowest cost, or none. Compares only two of many candidates.
     CostedTarget cheapest(std::vector<TargetNode *> candidates, const LatencyModel &model,
                           Instant now, RandomEngine &random) const;
@@ -190,6 +198,7 @@
     TargetLimits targetLimits;
     TargetAnnouncements announcements;
     EvacuatedDomains evacuations;
+    LostDomains lostDomains;
     PlacementCounts counts;
     /// When the last pause that some target asked for ends.
     Instant lastPauseEnd {};
--- a/tests/logic/gateway/gateway_fleet.cpp
+++ b/tests/logic/gateway/gateway_fleet.cpp
@@ -278,6 +278,18 @@
     });
 }
 
+void GatewayFleet::setDomainLost(std::size_t domain, bool isLost)
+{
+    if (!isLost) {
+        this->lostDomains.erase(domainName(domain));
+        return;
+    }
+    this->lostDomains.insert(domainName(domain));
+    for (std::size_t i = domain; i < this->nodes.size(); i += this->plan.domains) {
+        this->kill(i);
+    }
+}
+
 void GatewayFleet::cut(std::size_t instance, PathCut how)
 {
     Node &node = this->nodes[instance];
@@ -326,9 +338,11 @@
     const Node &node = this->nodes[instance];
     const Duration roundTrip = 2
             * this->delayBetween(node.domain, this->targets.at(effect.target).record.failureDomain);
-    const bool hangs = node.pathCut == PathCut::Silent;
+    const bool isLost =
+            this->lostDomains.contains(this->targets.at(effect.target).record.failureDomain);
+    const bool hangs = isLost || node.pathCut == PathCut::Silent;
     this->applyAt(this->now + (hangs ? this->plan.connectTimeout : roundTrip), instance,
-                  PathProbed {effect.number, node.pathCut == PathCut::None});
+                  PathProbed {effect.number, !isLost && node.pathCut == PathCut::None});
 }
 
 void GatewayFleet::startAttempt(std::size_t instance, const StartAttempt &effect)
@@ -348,7 +362,14 @@
                         : 2 * this->delayBetween(node.domain, target.record.failureDomain));
         return;
     }
-    if (node.pathCut == PathCut::Silent) {
+    const bool isLost = this->lostDomains.contains(target.record.failureDomain);
+    if (isLost && !isConnected) {
+        node.unsent.insert(effect.attempt);
+        this->endAttempt(instance, effect.attempt, AttemptEndKind::Unreachable,
+                         this->plan.connectTimeout);
+        return;
+    }
+    if (isLost || node.pathCut == PathCut::Silent) {
         return;
     }
     if (target.awayUntil > this->now) {
@@ -393,6 +414,7 @@
             [this, instance, run, breaks, attempt, isNew = !isConnected, id = effect.target] {
                 Node &receiver = this->nodes[instance];
                 if (receiver.run != run || receiver.pathBreaks != breaks
+                    || this->lostDomains.contains(this->targets.at(id).record.failureDomain)
                     || receiver.running.erase(attempt) == 0) {
                     return;
                 }
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -126,6 +126,9 @@
     /// Cuts an instance off from all targets, or ends the cut. Callers, the store and the other
     /// members reach it all the time.
     void cut(std::size_t instance, PathCut how);
+    /// From now on the domain's targets neither reply nor take connections, and its instances are
+    /// gone; or its targets are back.
+    void setDomainLost(std::size_t domain, bool isLost);
     /// From now on no message of the instance reaches another member.
     void silence(std::size_t instance) { this->silenced.insert(instance); }
     /// The instance handles nothing for a while; what arrives is handled afterwards.
@@ -230,6 +233,7 @@
     /// Instances that get no queries from callers.
     std::set<std::size_t> excluded;
     std::set<std::size_t> silenced;
+    std::set<FailureDomain> lostDomains;
     std::map<std::uint64_t, Instant> sentAt;
     std::map<std::uint64_t, std::string> prefixes;
     std::map<std::uint64_t, std::size_t> receivers;
