Limit what the whole fleet sends to cold targets

Cause: coldLimits was read from the configuration, but had no effect. The constants for limits that targets state would allow 2.5 L + 2 requests in a second, and a cold target bears 1.5 L + 5.

Change: ColdTargets knows until when a target is cold: by its entry, as a new process, after the evacuation of its domain and after its domain was away. TargetLimit takes such a limit beside a stated one; the smaller one binds. ColdShare divides 0.8 L among at most 0.1 L + 2 holders, whose number does not depend on the members that are known, and loans last 50 ms. An entry that makes a target cold again is passed on to members, and instances that start ask for the rest (cold_left_us).

--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -114,6 +114,9 @@
     writeGauge(writer, "lagoondeck_domains_lost",
                "Failure domains that don't answer this instance and are avoided.",
                static_cast<double>(status.lostDomains));
+    writeGauge(writer, "lagoondeck_targets_cold",
+               "Cold targets whose requests are limited for the whole fleet.",
+               static_cast<double>(status.coldTargets));
     writer.begin("lagoondeck_choices_held_back_total", MetricKind::Counter,
                  "Choices of a target, or of none, in which replicas were left out, by reason.");
     writer.sample({{"reason", "evacuated"}}, status.placement.evacuated);
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -100,10 +100,11 @@
 
 void Forwarder::onLimitLent(const LimitLent &event, GatewayContext &context)
 {
-    if (!this->targets.limits().loans().takeAnswered(event.number)) {
+    const auto age = this->targets.limits().loans().takeAnswered(event.number, context.now);
+    if (!age) {
         return;
     }
-    this->targets.limits().onLent(event, context.now);
+    this->targets.limits().onLent(event, *age, context.now);
     for (const auto &[target, count] : event.lent) {
         const auto waiting = this->partsAwaitingLimit.extract(target);
         if (waiting.empty()) {
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -283,6 +283,7 @@
     this->quarantineRecorder.onHistory(this->storeSync.history(), context);
     this->applyQuarantines(context);
     this->updateInstances(context.now);
+    this->targets.logNewlyCold(context);
     if (!this->targets.evacuatedDomains().empty()) {
         this->forwarder.abandonUnservable(context);
     }
@@ -520,6 +521,7 @@
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
     status.evacuatedDomains = this->targets.evacuatedDomains().size();
+    status.coldTargets = this->targets.limits().coldCount(now);
     status.lostDomains = this->targets.lostDomainCount();
     status.placement = this->targets.placementCounts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -55,6 +55,8 @@
     LimitCounts limitedAttempts;
     std::size_t evacuatedDomains = 0;
     std::size_t lostDomains = 0;
+    /// How many targets are limited because they are cold.
+    std::size_t coldTargets = 0;
     PlacementCounts placement;
 };
 
--- a/logic/gateway/limit_loans.cpp
+++ b/logic/gateway/limit_loans.cpp
@@ -28,16 +28,17 @@
 {
     for (auto &[holder, wishes] : std::exchange(this->pending, {})) {
         context.emit(RequestLimit {holder, ++this->lastNumber, wishes});
-        this->openRequests.insert(this->lastNumber);
+        this->openRequests.emplace(this->lastNumber, context.now);
         if (this->openRequests.size() > maxOpenRequests) {
             this->openRequests.erase(this->openRequests.begin());
         }
     }
 }
 
-bool LimitLoans::takeAnswered(std::uint64_t number)
+std::optional<Duration> LimitLoans::takeAnswered(std::uint64_t number, Instant now)
 {
-    return this->openRequests.erase(number) > 0;
+    const auto request = this->openRequests.extract(number);
+    return request.empty() ? std::nullopt : std::optional(now - request.mapped());
 }
 
 } // namespace lagoondeck
--- a/logic/gateway/limit_loans.h
+++ b/logic/gateway/limit_loans.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,13 +23,14 @@
     /// `perSecond` is the limit of the whole fleet.
     void add(const std::string &holder, const TargetId &target, double perSecond);
     void sendRequests(GatewayContext &context);
-    /// Returns true if the reply belongs to an unanswered request. Forgets the request.
-    bool takeAnswered(std::uint64_t number);
+    /// Returns how long ago the request was sent to which the reply belongs; nothing unless it is
+    /// unanswered. Forgets the request.
+    std::optional<Duration> takeAnswered(std::uint64_t number, Instant now);
 
 private:
     std::map<std::string, std::vector<LimitWish>> pending;
-    /// The numbers of unanswered requests; the oldest ones are dropped.
-    std::set<std::uint64_t> openRequests;
+    /// The numbers of unanswered requests and when they were sent; the oldest ones are dropped.
+    std::map<std::uint64_t, Instant> openRequests;
     std::uint64_t lastNumber = 0;
 };
 
--- a/logic/gateway/stated_limit.h
+++ b/logic/gateway/stated_limit.h
@@ -2,6 +2,8 @@
 
 #include "core/ids.h"
 
+#include "core/time.h"
+
 #include <optional>
 
 namespace lagoondeck {
@@ -12,6 +14,8 @@
     TargetId target;
     /// Requests per second; empty if the target states no limit any more.
     std::optional<double> perSecond;
+    /// For how long the limit holds because the target is cold; 0 if the target states it.
+    Duration coldLeft {};
 
     bool operator==(const StatedLimit &) const = default;
 };
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -234,13 +234,14 @@
 {
     this->fullRead.reset();
     this->targetsKnown = true;
+    this->targets.onListed();
     this->nextCallAt = context.now + pollPause;
     this->stateRequestAt = Instant::max();
 }
 
 void StoreSync::onChanges(const StoreAnswer &answer, GatewayContext &context)
 {
-    const std::shared_ptr<StoreUpdate> update = this->makeUpdate(answer);
+    const std::shared_ptr<StoreUpdate> update = this->makeUpdate(answer, context.now);
     this->applyNewer(answer.changes, context);
     this->sendToMembers(update, context);
     this->position.revision = std::max(this->position.revision, answer.revision);
@@ -327,7 +328,7 @@
     }
     this->configInForce = change;
     this->routeTable = std::make_shared<const RouteTable>(*config);
-    this->targets.setConfig(**config);
+    this->targets.setConfig(**config, context.now);
     context.log(LogEvent::CatalogueRevised,
                 {{"version", std::to_string((*config)->version)},
                  {"storeRevision", std::to_string(change.revision)}});
@@ -411,7 +412,7 @@
             this->withdrawnTargets.add(entry->first, known->second->record.startedAtMs,
                                        context.now);
         }
-        this->targets.remove(entry->first);
+        this->targets.remove(entry->first, context.now);
         context.log(LogEvent::TargetGone, {{"target", entry->first.value}});
         entry = this->missingTargets.erase(entry);
     }
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -132,7 +132,7 @@
 
     /// Returns the changes in a store answer that are more than heartbeats. Must be called before
     /// the answer is applied, because it compares with the known state.
-    std::shared_ptr<StoreUpdate> makeUpdate(const StoreAnswer &answer) const;
+    std::shared_ptr<StoreUpdate> makeUpdate(const StoreAnswer &answer, Instant now) const;
     void sendToMembers(const std::shared_ptr<StoreUpdate> &update, GatewayContext &context);
     /// Sends another member's update on to this instance's children in the relay tree.
     void relay(const StoreUpdate &update, GatewayContext &context);
@@ -145,7 +145,7 @@
     void requestState(GatewayContext &context);
     /// Returns whether a change differs from the known state in more than a heartbeat, or from what
     /// a member at this instance's position may know.
-    bool isStateChange(const StoreChange &change) const;
+    bool isStateChange(const StoreChange &change, Instant now) const;
     /// Returns a hash over all keys and their contents, without heartbeats.
     std::uint64_t digest() const;
     /// Returns a hash of the evacuated failure domains, which are not in the other digest because
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -38,7 +38,7 @@
     return this->pollInterval + this->rankDelay * std::min(this->rank(), maxRank);
 }
 
-bool StoreSync::isStateChange(const StoreChange &change) const
+bool StoreSync::isStateChange(const StoreChange &change, Instant now) const
 {
     const auto *record = std::get_if<TargetRecord>(&change.content);
     const auto known = this->knownState.find(change.key);
@@ -56,12 +56,15 @@
         // position don't know them.
         return true;
     }
+    if (this->targets.coldTargetsKnown().isExtendedBy(*record, now)) {
+        return true;
+    }
     TargetRecord unchanged = *previous;
     unchanged.warmupLeft = record->warmupLeft;
     return unchanged != *record;
 }
 
-std::shared_ptr<StoreUpdate> StoreSync::makeUpdate(const StoreAnswer &answer) const
+std::shared_ptr<StoreUpdate> StoreSync::makeUpdate(const StoreAnswer &answer, Instant now) const
 {
     auto update = std::make_shared<StoreUpdate>();
     update->history = this->position.history;
@@ -70,7 +73,7 @@
     // A later change of a key may bring back what was known before the first one.
     std::unordered_set<std::string> changedKeys;
     for (const StoreChange &change : answer.changes) {
-        if (changedKeys.contains(change.key) || this->isStateChange(change)) {
+        if (changedKeys.contains(change.key) || this->isStateChange(change, now)) {
             changedKeys.insert(change.key);
             update->changes.push_back(change);
         }
--- a/logic/gateway/target_limit.cpp
+++ b/logic/gateway/target_limit.cpp
@@ -2,6 +2,7 @@
 
 #include "logic/gateway/limit_constants.h"
 #include "logic/gateway/limit_holders.h"
+#include "logic/placement/cold_share.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,7 +34,7 @@
 
 LimitChange TargetLimit::set(std::optional<double> perSecond, Instant now)
 {
-    const bool wasLimited = this->perSecond(now).has_value();
+    const bool wasLimited = this->statedPerSecond(now).has_value();
     const std::optional<double> previous = std::exchange(this->limit, perSecond);
     this->confirmedAt = now;
     if (!perSecond) {
@@ -72,9 +73,13 @@
                          const InstanceId &self, std::uint64_t revision, Instant now)
 {
     this->dividedRevision = revision;
-    this->dividedLimit = this->limit;
-    const double rate = std::max(this->limit.value_or(0.0), minPerSecond);
-    this->holders.clear();
+    this->dividedLimit = this->perSecond(now);
+    this->dividedCold = this->coldPerSecond(now);
+    if (this->dividedCold) {
+        this->divideCold(candidates, target, self, *this->dividedCold, now);
+        return;
+    }
+    const double rate = std::max(this->dividedLimit.value_or(0.0), minPerSecond);
     std::vector<MemberRecord> holders;
     double holderCount = assumedInstances;
     bool isHolder = true;
@@ -86,13 +91,45 @@
     const double burst = rate * limits::burstTime.count() + limits::extraBurst;
     this->bucket.setShare(isHolder ? rate / holderCount : 0.0,
                           isHolder ? std::max(burst / holderCount, 1.0) : 0.0, now);
-    for (const MemberRecord &holder : holders) {
+    this->setOtherHolders(holders, self);
+}
+
+void TargetLimit::divideCold(const std::vector<MemberRecord> &candidates, const TargetId &target,
+                             const InstanceId &self, double coldLimit, Instant now)
+{
+    // The holders don't depend on a stated limit, of which some members may not know.
+    const std::size_t maxHolders = coldHolderCount(coldLimit);
+    const std::vector<MemberRecord> holders =
+            limitHolders(candidates, target, static_cast<double>(maxHolders));
+    // An instance that does not find itself among the members is not counted by the others either.
+    const bool isHolder = std::ranges::find(holders, self, &MemberRecord::id) != holders.end();
+    const ColdShare share = coldShare(coldLimit, this->dividedLimit.value_or(coldLimit),
+                                      holders.size(), candidates.size());
+    this->bucket.setShare(isHolder ? share.perSecond : 0.0, isHolder ? share.capacity : 0.0, now);
+    this->setOtherHolders(holders, self);
+}
+
+void TargetLimit::setOtherHolders(const std::vector<MemberRecord> &all, const InstanceId &self)
+{
+    this->holders.clear();
+    for (const MemberRecord &holder : all) {
         if (holder.id != self) {
             this->holders.push_back(holder.peerAddress);
         }
     }
 }
 
+void TargetLimit::setCold(double perSecond, Instant until)
+{
+    this->coldLimit = perSecond;
+    this->coldUntil = until;
+}
+
+std::optional<double> TargetLimit::coldPerSecond(Instant now) const
+{
+    return now < this->coldUntil ? std::optional(this->coldLimit) : std::nullopt;
+}
+
 void TargetLimit::onSent(Instant now)
 {
     this->sentAt = now;
@@ -117,6 +154,13 @@
 }
 
 std::optional<double> TargetLimit::perSecond(Instant now) const
+{
+    const std::optional<double> stated = this->statedPerSecond(now);
+    const std::optional<double> cold = this->coldPerSecond(now);
+    return stated && cold ? std::min(stated, cold) : stated ? stated : cold;
+}
+
+std::optional<double> TargetLimit::statedPerSecond(Instant now) const
 {
     if (!this->limit) {
         return std::nullopt;
--- a/logic/gateway/target_limit.h
+++ b/logic/gateway/target_limit.h
@@ -37,7 +37,15 @@
     bool needsReport(Instant now) const;
     /// Called when this instance or a member tells the others what the target states.
     void onTold(std::optional<double> perSecond, Instant now);
-    /// Returns the limit of the whole fleet in requests per second, or nothing if there is none.
+    /// Sets the limit that holds until the given time because the target is cold.
+    void setCold(double perSecond, Instant until);
+    /// Returns the limit that holds because the target is cold, or nothing if it is not.
+    std::optional<double> coldPerSecond(Instant now) const;
+    Instant coldEnd() const { return this->coldUntil; }
+    /// Returns the limit that the target states, or nothing if there is none.
+    std::optional<double> statedPerSecond(Instant now) const;
+    /// Returns the limit of the whole fleet in requests per second, which is the smaller one of the
+    /// stated and the cold limit, or nothing if there is none.
     std::optional<double> perSecond(Instant now) const;
     /// Returns when the present limit began.
     Instant begunAt() const { return this->begun; }
@@ -47,9 +55,10 @@
     void divide(const std::vector<MemberRecord> &candidates, const TargetId &target,
                 const InstanceId &self, std::uint64_t revision, Instant now);
     /// Returns true if the limit or the candidates have changed since the limit was divided.
-    bool needsDivision(std::uint64_t revision) const
+    bool needsDivision(std::uint64_t revision, Instant now) const
     {
-        return this->dividedRevision != revision || this->dividedLimit != this->limit;
+        return this->dividedRevision != revision || this->dividedLimit != this->perSecond(now)
+                || this->dividedCold != this->coldPerSecond(now);
     }
     /// Returns the peer addresses of the other members among which the limit is divided.
     const std::vector<std::string> &otherHolders() const { return this->holders; }
@@ -67,6 +76,9 @@
 
 private:
     LimitChange set(std::optional<double> perSecond, Instant now);
+    void divideCold(const std::vector<MemberRecord> &candidates, const TargetId &target,
+                    const InstanceId &self, double coldLimit, Instant now);
+    void setOtherHolders(const std::vector<MemberRecord> &all, const InstanceId &self);
 
     bool gathered;
     std::optional<double> limit;
@@ -85,6 +97,9 @@
     Instant loanRefusedUntil {};
     std::uint64_t dividedRevision = 0;
     std::optional<double> dividedLimit;
+    std::optional<double> dividedCold;
+    double coldLimit = 0.0;
+    Instant coldUntil {};
 };
 
 } // namespace lagoondeck
--- a/logic/gateway/target_limits.cpp
+++ b/logic/gateway/target_limits.cpp
@@ -1,5 +1,7 @@
 #include "logic/gateway/target_limits.h"
 
+#include "logic/placement/cold_share.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -41,7 +43,7 @@
     } else if (change != LimitChange::None) {
         context.log(LogEvent::TargetLimited,
                     {{"target", target.value},
-                     {"perSecond", rateText(limit.perSecond(context.now).value_or(0.0))}});
+                     {"perSecond", rateText(limit.statedPerSecond(context.now).value_or(0.0))}});
     }
 }
 
@@ -87,13 +89,34 @@
     }
 }
 
+void TargetLimits::setCold(const TargetId &target, bool isGathered, double perSecond, Instant until)
+{
+    this->limits.try_emplace(target, isGathered).first->second.setCold(perSecond, until);
+}
+
+bool TargetLimits::isCold(const TargetId &target, Instant now) const
+{
+    const auto found = this->limits.find(target);
+    return found != this->limits.end() && found->second.coldPerSecond(now).has_value();
+}
+
+std::size_t TargetLimits::coldCount(Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->limits, [now](const auto &entry) {
+        return entry.second.coldPerSecond(now).has_value();
+    }));
+}
+
 std::vector<StatedLimit> TargetLimits::stated(Instant now) const
 {
     std::vector<StatedLimit> stated;
     for (const auto &[target, limit] : this->limits) {
-        if (const auto perSecond = limit.perSecond(now)) {
+        if (const auto perSecond = limit.statedPerSecond(now)) {
             stated.push_back({target, perSecond});
         }
+        if (const auto cold = limit.coldPerSecond(now)) {
+            stated.push_back({target, cold, limit.coldEnd() - now});
+        }
     }
     return stated;
 }
@@ -116,7 +139,7 @@
         return nullptr;
     }
     TargetLimit &limit = found->second;
-    if (limit.needsDivision(this->memberRevision)) {
+    if (limit.needsDivision(this->memberRevision, now)) {
         const bool isCoordinated = limit.isGathered() && !this->coordinators.empty();
         limit.divide(isCoordinated ? this->coordinators : this->members, target, this->self,
                      this->memberRevision, now);
@@ -171,11 +194,15 @@
     return lent;
 }
 
-void TargetLimits::onLent(const LimitLent &event, Instant now)
+void TargetLimits::onLent(const LimitLent &event, Duration age, Instant now)
 {
-    for (const auto &[target, count] : event.lent) {
+    for (const auto &[target, lent] : event.lent) {
         if (TargetLimit *limit = this->find(target, now)) {
-            limit->onLent(count, now + event.validFor, now);
+            const bool isCold = limit->coldPerSecond(now).has_value();
+            const std::uint32_t count = isCold && age > maxColdLoanDelay ? 0 : lent;
+            const Duration validFor =
+                    isCold ? std::min(event.validFor, coldLoanLifetime) : event.validFor;
+            limit->onLent(count, now + validFor, now);
             this->limitCounts.borrowed += count;
         }
     }
@@ -184,7 +211,7 @@
 std::size_t TargetLimits::limitedCount(Instant now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->limits, [now](const auto &entry) {
-        return entry.second.perSecond(now).has_value();
+        return entry.second.statedPerSecond(now).has_value();
     }));
 }
 
--- a/logic/gateway/target_limits.h
+++ b/logic/gateway/target_limits.h
@@ -63,7 +63,11 @@
                   GatewayContext &context);
     /// Called when a member reports what a target stated to it or to another member.
     void onReported(const StatedLimit &stated, bool isGathered, GatewayContext &context);
-    /// Returns the limits that targets state at present.
+    /// Sets a limit that holds until the given time because the target is cold.
+    void setCold(const TargetId &target, bool isGathered, double perSecond, Instant until);
+    /// Returns whether the target is limited because it is cold.
+    bool isCold(const TargetId &target, Instant now) const;
+    /// Returns the limits that hold at present.
     std::vector<StatedLimit> stated(Instant now) const;
     /// Returns the limits of which the other members must be told now.
     std::vector<StatedLimit> takeDueReport(Instant now);
@@ -88,12 +92,15 @@
     LimitLoans &loans() { return this->limitLoans; }
     /// Lends a member what this instance does not need itself.
     LimitGrants lend(const std::vector<LimitWish> &wishes, Instant now);
-    /// Called when a member lends requests, or refuses to.
-    void onLent(const LimitLent &event, Instant now);
+    /// Called when a member lends requests, or refuses to. `age` is the time since the request for
+    /// the loan.
+    void onLent(const LimitLent &event, Duration age, Instant now);
     /// Called when a part is given up because of limits.
     void onWithheld() { ++this->limitCounts.withheld; }
 
-    /// Returns how many targets are limited.
+    /// Returns how many targets are limited because they are cold.
+    std::size_t coldCount(Instant now) const;
+    /// Returns how many targets state a limit.
     std::size_t limitedCount(Instant now) const;
     const LimitCounts &counts() const { return this->limitCounts; }
 
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -1,7 +1,6 @@
 #include "logic/gateway/target_registry.h"
 
 #include "logic/placement/covering_domains.h"
-#include "logic/placement/target_cost.h"
 
 #include <algorithm>
 #include <iterator>
@@ -11,29 +10,6 @@
 
 namespace lagoondeck {
 
-namespace {
-
-/// The fraction of a target's connection cap that is divided among the instances. The rest is a
-/// safety margin for instances that disagree about the fleet size and for instances that replace
-/// each other.
-constexpr double sharedCapFraction = 0.85;
-/// In a fleet with coordinators, the fraction of the cap that is divided among them. They send
-/// nearly all requests.
-constexpr double coordinatorCapFraction = 0.6;
-/// The wait for a loan of a request at a limited target.
-constexpr double loanCostMs = 10.0;
-/// If more replicas than this are available, only two random ones are compared.
-constexpr std::size_t maxCompared = 4;
-
-template <typename Range>
-auto pickRandom(Range &range, RandomEngine &random)
-{
-    std::uniform_int_distribution<std::size_t> any(0, range.size() - 1);
-    return range.begin() + static_cast<std::ptrdiff_t>(any(random));
-}
-
-} // namespace
-
 TargetGroup &TargetRegistry::group(const GroupName &name)
 {
     auto &group = this->groups[name];
@@ -54,10 +30,12 @@
             && known.record.group == record.group) {
             known.record = record;
             this->updateUsable(known);
+            this->coldTargets.onEntry(record, now);
+            this->limitCold(known, now);
             return;
         }
         // Another process runs under the same id, so the learned values are invalid.
-        this->remove(record.id);
+        this->remove(record.id, now);
     }
     auto node = std::make_unique<TargetNode>();
     node->record = record;
@@ -65,10 +43,44 @@
     node->usable = this->shouldBeUsable(*node);
     node->warmupUntil = now + record.warmupLeft;
     this->group(record.group).targets.push_back(node.get());
+    this->coldTargets.onAdded(record, now);
+    this->limitCold(*node, now);
     this->targets.emplace(record.id, std::move(node));
     ++this->changes;
 }
 
+void TargetRegistry::limitCold(const TargetNode &target, Instant now)
+{
+    const TargetId &id = target.record.id;
+    const bool wasCold = this->targetLimits.isCold(id, now);
+    const auto cold = this->coldTargets.state(target.record, now);
+    if (!cold && !wasCold) {
+        return;
+    }
+    this->targetLimits.setCold(id, this->group(target.record.group).isGathered,
+                               cold ? cold->requestsPerSecond : 0.0, cold ? cold->until : now);
+    if (cold && !wasCold) {
+        this->newlyCold.push_back(id);
+    }
+}
+
+void TargetRegistry::logNewlyCold(GatewayContext &context)
+{
+    for (const TargetId &id : std::exchange(this->newlyCold, {})) {
+        const auto found = this->targets.find(id);
+        const auto cold = found == this->targets.end()
+                ? std::nullopt
+                : this->coldTargets.state(found->second->record, context.now);
+        if (cold) {
+            context.log(LogEvent::TargetCold,
+                        {{"target", id.value},
+                         {"domain", found->second->record.failureDomain.value},
+                         {"perSecond", std::to_string(cold->requestsPerSecond)},
+                         numberField("ms", toMilliseconds(cold->until - context.now))});
+        }
+    }
+}
+
 bool TargetRegistry::shouldBeUsable(const TargetNode &target) const
 {
     return !target.record.leaving && !target.hasAnnouncedLeaving
@@ -98,6 +110,12 @@
     if (!begunAt) {
         return;
     }
+    for (const auto &[id, target] : this->targets) {
+        if (target->record.failureDomain == domain) {
+            this->coldTargets.makeCold(target->record, context.now);
+            this->limitCold(*target, context.now);
+        }
+    }
     context.log(LogEvent::EvacuationEnded,
                 {{"domain", domain.value},
                  numberField("targets", static_cast<std::int64_t>(this->updateDomain(domain))),
@@ -191,7 +209,7 @@
     ++this->changes;
 }
 
-void TargetRegistry::remove(const TargetId &target)
+void TargetRegistry::remove(const TargetId &target, Instant now)
 {
     const auto found = this->targets.find(target);
     if (found == this->targets.end()) {
@@ -199,6 +217,7 @@
     }
     this->detach(*found->second);
     this->targetLimits.forget(target);
+    this->coldTargets.onRemoved(found->second->record, now);
     if (found->second->inFlight > 0) {
         this->retired.push_back(std::move(found->second));
     }
@@ -246,7 +265,7 @@
     std::erase_if(this->retired, [](const auto &node) { return node->inFlight == 0; });
 }
 
-void TargetRegistry::setConfig(const RoutingConfig &config)
+void TargetRegistry::setConfig(const RoutingConfig &config, Instant now)
 {
     for (const auto &[name, cap] : config.connectionCaps) {
         TargetGroup &group = this->group(name);
@@ -258,6 +277,10 @@
             this->group(name).isGathered = true;
         }
     }
+    this->coldTargets.setLimits(config.coldLimits);
+    for (const auto &[id, target] : this->targets) {
+        this->limitCold(*target, now);
+    }
 }
 
 void TargetRegistry::setCoordinators(const std::vector<MemberRecord> &coordinators,
@@ -286,22 +309,15 @@
     return lagoondeck::coveringDomains(domainsOfGroups);
 }
 
-bool TargetRegistry::hasCapacity(const TargetNode &target, const TargetGroup &group) const
-{
-    const double share = this->isCoordinator ? group.connectionCap * coordinatorCapFraction
-                    / static_cast<double>(this->coordinatorCount)
-                                             : group.connectionCap
-                    * (this->coordinatorCount > 0 ? sharedCapFraction - coordinatorCapFraction
-                                                  : sharedCapFraction)
-                    / static_cast<double>(std::max<std::size_t>(this->instances, 1));
-    return target.inFlight < std::max<std::uint32_t>(static_cast<std::uint32_t>(share), 1U);
-}
-
 void TargetRegistry::onLimitsReported(const std::vector<StatedLimit> &stated,
                                       GatewayContext &context)
 {
     for (const StatedLimit &limit : stated) {
-        if (const TargetGroup *group = this->groupOf(limit.target)) {
+        const auto found = this->targets.find(limit.target);
+        if (limit.coldLeft > Duration(0) && found != this->targets.end()) {
+            this->coldTargets.onReported(limit.target, context.now + limit.coldLeft);
+            this->limitCold(*found->second, context.now);
+        } else if (const TargetGroup *group = this->groupOf(limit.target)) {
             this->targetLimits.onReported(limit, group->isGathered, context);
         }
     }
@@ -330,19 +346,6 @@
     return found == this->targets.end() ? nullptr : &this->group(found->second->record.group);
 }
 
-void TargetRegistry::requestLoan(const TargetGroup &group, Instant now, RandomEngine &random)
-{
-    std::vector<const TargetNode *> replicas;
-    std::ranges::copy_if(group.targets, std::back_inserter(replicas),
-                         [&](const TargetNode *target) {
-                             return target->usable && now >= target->pausedUntil
-                                     && this->targetLimits.mayRequestLoan(target->record.id, now);
-                         });
-    if (!replicas.empty()) {
-        this->targetLimits.requestLoan((*pickRandom(replicas, random))->record.id, now, random);
-    }
-}
-
 LimitGrants TargetRegistry::lendLimits(const LimitRequested &event, GatewayContext &context)
 {
     // A member may know of a limit that this instance has not heard of yet.
@@ -356,26 +359,6 @@
     return this->targetLimits.lend(event.wishes, context.now);
 }
 
-ChoiceProblem TargetRegistry::restrictionProblem(TargetGroup &group, const LimitUse &use,
-                                                 Instant now)
-{
-    ChoiceProblem problem = ChoiceProblem::NoTarget;
-    for (const TargetNode *target : group.targets) {
-        if (!target->usable) {
-            continue;
-        }
-        if (now < target->pausedUntil) {
-            problem = std::max(problem, ChoiceProblem::Paused);
-            continue;
-        }
-        if (this->targetLimits.allows(target->record.id, use, now)) {
-            return ChoiceProblem::None;
-        }
-        problem = ChoiceProblem::Limited;
-    }
-    return problem;
-}
-
 double TargetRegistry::limitedRate(const TargetGroup &group, Instant now) const
 {
     double sum = 0.0;
@@ -385,97 +368,6 @@
     return sum;
 }
 
-TargetChoice TargetRegistry::choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
-                                    RandomEngine &random)
-{
-    std::vector<TargetNode *> available;
-    std::vector<TargetNode *> limited;
-    TargetNode *earliestAvoided = nullptr;
-    ChoiceProblem problem = ChoiceProblem::NoTarget;
-    bool skipsEvacuated = false;
-    bool skipsLost = false;
-    TargetNode *lostTarget = nullptr;
-    for (TargetNode *target : group.targets) {
-        skipsEvacuated = skipsEvacuated || this->evacuations.contains(target->record.failureDomain);
-        if (!target->usable
-            || std::ranges::find(terms.excluded, target->record.id) != terms.excluded.end()) {
-            continue;
-        }
-        if (now < target->pausedUntil) {
-            problem = std::max(problem, ChoiceProblem::Paused);
-        } else if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
-            problem = std::max(problem, ChoiceProblem::Limited);
-            if (this->hasCapacity(*target, group)
-                && this->targetLimits.mayRequestLoan(target->record.id, now)) {
-                limited.push_back(target);
-            }
-        } else if (!this->hasCapacity(*target, group)) {
-            problem = std::max(problem, ChoiceProblem::Busy);
-        } else if (this->lostDomains.isAvoided(target->record.failureDomain, now)) {
-            skipsLost = true;
-            if (lostTarget == nullptr || target->avoidUntil < lostTarget->avoidUntil) {
-                lostTarget = target;
-            }
-        } else if (now < target->avoidUntil) {
-            problem = ChoiceProblem::Avoided;
-            if (earliestAvoided == nullptr || target->avoidUntil < earliestAvoided->avoidUntil) {
-                earliestAvoided = target;
-            }
-        } else {
-            available.push_back(target);
-        }
-    }
-    this->counts.evacuated += skipsEvacuated ? 1 : 0;
-    this->counts.lost += skipsLost ? 1 : 0;
-    if (lostTarget != nullptr && available.empty() && problem != ChoiceProblem::Avoided
-        && problem != ChoiceProblem::Busy) {
-        // A target of a lost domain is the only one that is left.
-        problem = ChoiceProblem::Avoided;
-        earliestAvoided = lostTarget;
-    }
-    const CostedTarget best = this->cheapest(std::move(available), terms.latency, now, random);
-    if (best.target != nullptr) {
-        // What a limit leaves to this instance is used first.
-        const bool isLimited =
-                this->targetLimits.perSecond(best.target->record.id, now).has_value();
-        const CostedTarget loan = this->cheapest(std::move(limited), terms.latency, now, random);
-        const bool isLoanCheaper =
-                !isLimited && loan.target != nullptr && loan.cost + loanCostMs < best.cost;
-        return {best.target, ChoiceProblem::None, isLoanCheaper ? loan.target : nullptr};
-    }
-    // Any replica will do, and unused parts of limits may lie at the holders of each of them.
-    TargetNode *loanTarget = limited.empty() ? nullptr : *pickRandom(limited, random);
-    if (terms.allowAvoided && earliestAvoided != nullptr) {
-        return {earliestAvoided, ChoiceProblem::None, loanTarget};
-    }
-    return {nullptr, problem, loanTarget};
-}
-
-TargetDistance TargetRegistry::distanceOf(const TargetNode &target) const
-{
-    return target.record.failureDomain == this->failureDomain ? TargetDistance::SameDomain
-            : this->isCoordinator ? TargetDistance::OtherDomainOfCoordinator
-                                  : TargetDistance::OtherDomain;
-}
-
-TargetRegistry::CostedTarget TargetRegistry::cheapest(std::vector<TargetNode *> candidates,
-                                                      const LatencyModel &model, Instant now,
-                                                      RandomEngine &random) const
-{
-    if (candidates.size() > maxCompared) {
-        std::ranges::shuffle(candidates, random);
-        candidates.resize(2);
-    }
-    CostedTarget best;
-    for (TargetNode *target : candidates) {
-        const double cost = targetCost(*target, this->distanceOf(*target), model, now, random);
-        if (best.target == nullptr || cost < best.cost) {
-            best = {target, cost};
-        }
-    }
-    return best;
-}
-
 void TargetRegistry::onSent(TargetNode &target, TraceKind cause, Instant now)
 {
     this->targetLimits.onSent(target.record.id, cause, now);
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -8,6 +8,7 @@
 #include "logic/gateway/target_announcements.h"
 #include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
+#include "logic/placement/cold_targets.h"
 #include "logic/placement/evacuated_domains.h"
 #include "logic/placement/lost_domains.h"
 #include "logic/placement/placement_counts.h"
@@ -75,14 +76,19 @@
     /// Adds a target or updates its record. A new process under a known id replaces the old one.
     void update(const TargetRecord &record, Instant now);
     /// Removes a target. Requests that are still running there end normally.
-    void remove(const TargetId &target);
+    void remove(const TargetId &target, Instant now);
+    /// Called when all targets of the store have been listed.
+    void onListed() { this->coldTargets.onListed(); }
+    /// Logs the targets that have become cold since the last call.
+    void logNewlyCold(GatewayContext &context);
+    const ColdTargets &coldTargetsKnown() const { return this->coldTargets; }
     /// Called when nothing more may be sent to the targets of a failure domain.
     void beginEvacuation(const FailureDomain &domain, GatewayContext &context);
     /// Called when the targets of a failure domain may get requests again.
     void endEvacuation(const FailureDomain &domain, GatewayContext &context);
     const EvacuatedDomains &evacuatedDomains() const { return this->evacuations; }
     /// Applies what the configuration says of the groups.
-    void setConfig(const RoutingConfig &config);
+    void setConfig(const RoutingConfig &config, Instant now);
     /// Sets this instance's failure domain. Targets in other domains cost more.
     void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
     /// Sets how many entry instances share the targets' connections.
@@ -187,6 +193,8 @@
     /// Returns whether the target may get new requests.
     bool shouldBeUsable(const TargetNode &target) const;
     void updateUsable(TargetNode &target);
+    /// Applies what is known of the target's being cold to its limit.
+    void limitCold(const TargetNode &target, Instant now);
     /// Updates the targets of a failure domain. Returns their number.
     std::size_t updateDomain(const FailureDomain &domain);
     void removeIdleRetired();
@@ -199,6 +207,8 @@
     TargetAnnouncements announcements;
     EvacuatedDomains evacuations;
     LostDomains lostDomains;
+    ColdTargets coldTargets;
+    std::vector<TargetId> newlyCold;
     PlacementCounts counts;
     /// When the last pause that some target asked for ends.
     Instant lastPauseEnd {};
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -122,7 +122,9 @@
 {
     LearnedState state;
     state.suspects = {{Fingerprint(7), 4, std::chrono::seconds(3)}};
-    state.limits = {{TargetId("t"), 2.5}, {TargetId("u"), std::nullopt}};
+    state.limits = {{TargetId("t"), 2.5},
+                    {TargetId("u"), std::nullopt},
+                    {TargetId("v"), 4.0, std::chrono::seconds(7)}};
     state.leavingTargets = {{TargetId("v"), 1700000000000}};
     state.isComplete = false;
     const auto message = writeLearnedState(state, "a", "127.0.0.1:1");
