Serve requests only in the regions that their route and account allow

Cause: allowed regions were read from the configuration and the settings, but had no effect.

Change: RegionRule is part of the terms on which a target is chosen, and the members to which a request may be delegated are filtered by it. A gathered query that can't be complete in the allowed regions is refused before anything is sent.

--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -5,6 +5,7 @@
 #include "core/routing_config.h"
 #include "core/time.h"
 #include "logic/gateway/exchange_id.h"
+#include "logic/placement/region_rule.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -28,6 +29,7 @@
 /// A request that is allowed by the configuration and ready to be served.
 struct AdmittedRequest
 {
+
     ExchangeId id;
     std::shared_ptr<const ForwardedRequest> request;
     /// The configuration that was in force when the request arrived.
@@ -54,6 +56,8 @@
     /// Whether the deadline is the end of this instance instead of the caller's own.
     bool isCutShort = false;
 
+    /// Returns in which regions the request may be served.
+    RegionRule regionRule() const { return {*this->route, this->account}; }
     /// Moves the deadline forward because this instance ends then.
     void endBy(Instant at)
     {
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -142,7 +142,7 @@
             const bool isWaiting =
                     part.phase == PartPhase::Waiting || part.phase == PartPhase::Borrowing;
             if (isWaiting && part.runningAttempts.empty()
-                && !TargetRegistry::hasUsable(*part.group)) {
+                && !this->targets.hasUsable(*part.group, exchange.regionRule())) {
                 part.phase = PartPhase::Abandoned;
                 exchange.recordStep(TraceKind::NoTarget, i, {}, context.now);
                 changed.insert(id);
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -21,7 +21,11 @@
 
 ChoiceTerms termsFor(const Exchange &exchange, const Part &part, bool isOptional)
 {
-    return {part.triedTargets, *exchange.latency, !isOptional, {exchange.urgencyRank, isOptional}};
+    return {part.triedTargets,
+            *exchange.latency,
+            !isOptional,
+            {exchange.urgencyRank, isOptional},
+            exchange.regionRule()};
 }
 
 /// Returns true if the part should wait for a request at a limited replica.
@@ -132,20 +136,23 @@
 
 bool Forwarder::refuseRestricted(Exchange &exchange, GatewayContext &context)
 {
-    if (!exchange.route->gathers() || !this->targets.hasRestrictions(context.now)) {
+    if (!exchange.route->gathers()
+        || (exchange.regionRule().isOpen() && !this->targets.hasRestrictions(context.now))) {
         return false;
     }
     std::vector<ChoiceProblem> problems;
     for (const Part &part : exchange.parts) {
         problems.push_back(this->targets.restrictionProblem(
-                *part.group, {exchange.urgencyRank, false}, context.now));
+                *part.group, {exchange.urgencyRank, false}, exchange.regionRule(), context.now));
     }
     const auto servable = std::ranges::count(problems, ChoiceProblem::None);
-    // Without a target for a group, the others are asked all the same, unless it was evacuated.
-    const bool isEvacuating = !this->targets.evacuatedDomains().empty();
+    // Without a target for a group, the others are asked all the same, unless the group's targets
+    // are evacuated or in another region.
+    const bool mayLackTargets =
+            !this->targets.evacuatedDomains().empty() || !exchange.regionRule().isOpen();
     const bool isRestricted = std::ranges::any_of(problems, [&](ChoiceProblem problem) {
         return problem == ChoiceProblem::Limited || problem == ChoiceProblem::Paused
-                || (problem == ChoiceProblem::NoTarget && isEvacuating);
+                || (problem == ChoiceProblem::NoTarget && mayLackTargets);
     });
     if (!isRestricted || exchange.meetsMinimumCoverage(static_cast<std::size_t>(servable))) {
         return false;
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -25,7 +25,7 @@
     : settings(settings), random(settings.seed), path(this->targets),
       storeSync(settings, this->targets), registration(settings),
       forwarder(this->targets, this->path, settings.retries, settings.logSampleOneIn),
-      delegator(settings.failureDomain, settings.logSampleOneIn, this->random()),
+      delegator(settings.failureDomain, settings.regions, settings.logSampleOneIn, this->random()),
       intake(delegationCapacity(settings)), quarantineRecorder(settings)
 { }
 
@@ -47,6 +47,7 @@
     this->startedAt = context.now;
     this->targets.setInstanceCount(assumedInstances);
     this->targets.setFailureDomain(this->settings.failureDomain);
+    this->targets.setRegions(this->settings.regions);
     this->targets.limits().setSelf(this->settings.id);
     if (!this->settings.firstStart) {
         this->targets.setSlackAvailableAt(context.now + this->settings.retries.window);
--- a/logic/gateway/request_delegator.cpp
+++ b/logic/gateway/request_delegator.cpp
@@ -73,9 +73,10 @@
 
 } // namespace
 
-RequestDelegator::RequestDelegator(FailureDomain domain, std::uint64_t sampleOneIn,
-                                   std::uint64_t firstNumber)
-    : domain(std::move(domain)), sampleOneIn(sampleOneIn), lastNumber(firstNumber)
+RequestDelegator::RequestDelegator(FailureDomain domain, DomainRegions regions,
+                                   std::uint64_t sampleOneIn, std::uint64_t firstNumber)
+    : domain(std::move(domain)), regions(std::move(regions)), sampleOneIn(sampleOneIn),
+      lastNumber(firstNumber)
 { }
 
 std::vector<MemberRecord> RequestDelegator::chooseCoordinators(const CoordinatorRanking &ranking,
@@ -103,11 +104,21 @@
     return chosen;
 }
 
+void RequestDelegator::removeForbidden(std::vector<MemberRecord> &candidates,
+                                       const AdmittedRequest &request) const
+{
+    const RegionRule rule = request.regionRule();
+    std::erase_if(candidates, [&](const MemberRecord &member) {
+        return !rule.allowsMembersIn(member.failureDomain, this->domain, this->regions);
+    });
+}
+
 std::optional<AdmittedRequest> RequestDelegator::delegate(AdmittedRequest request,
                                                           const CoordinatorRanking &ranking,
                                                           GatewayContext &context)
 {
     std::vector<MemberRecord> candidates = this->chooseCoordinators(ranking, context);
+    this->removeForbidden(candidates, request);
     if (candidates.empty() || request.request->body.size() > maxDelegatedBody) {
         return request;
     }
@@ -127,6 +138,7 @@
             candidates.push_back(std::move(helper));
         }
     }
+    this->removeForbidden(candidates, request);
     request.isDeclined = true;
     if (candidates.empty() || request.request->body.size() > maxHelpedBody) {
         return request;
--- a/logic/gateway/request_delegator.h
+++ b/logic/gateway/request_delegator.h
@@ -51,7 +51,8 @@
     /// Of the requests that end as Served, one in `sampleOneIn` is logged; 0 logs none.
     /// `firstNumber` should be random, so that late answers to an earlier run of this process are
     /// not mistaken for answers to this one.
-    RequestDelegator(FailureDomain domain, std::uint64_t sampleOneIn, std::uint64_t firstNumber);
+    RequestDelegator(FailureDomain domain, DomainRegions regions, std::uint64_t sampleOneIn,
+                     std::uint64_t firstNumber);
 
     /// Asks coordinators to serve a gathered request. Returns the request if this instance must
     /// serve it itself.
@@ -100,6 +101,9 @@
     };
     using PendingRequests = std::map<std::uint64_t, PendingRequest>;
 
+    /// Removes the members to which the request must not be sent.
+    void removeForbidden(std::vector<MemberRecord> &candidates,
+                         const AdmittedRequest &request) const;
     /// Returns the coordinators that should be asked.
     std::vector<MemberRecord> chooseCoordinators(const CoordinatorRanking &ranking,
                                                  GatewayContext &context);
@@ -125,6 +129,7 @@
              GatewayContext &context);
 
     FailureDomain domain;
+    DomainRegions regions;
     std::uint64_t sampleOneIn;
     CoordinatorHealth health;
     /// The requests without an answer by their number.
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -134,10 +134,12 @@
     return count;
 }
 
-bool TargetRegistry::hasUsable(const TargetGroup &group)
+bool TargetRegistry::hasUsable(const TargetGroup &group, const RegionRule &rule) const
 {
-    return std::ranges::any_of(group.targets,
-                               [](const TargetNode *target) { return target->usable; });
+    return std::ranges::any_of(group.targets, [&](const TargetNode *target) {
+        return target->usable
+                && rule.allowsTargetsIn(target->record.failureDomain, this->domainRegions);
+    });
 }
 
 void TargetRegistry::onReply(TargetNode &target, const ForwardedReply &reply,
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -12,6 +12,7 @@
 #include "logic/placement/evacuated_domains.h"
 #include "logic/placement/lost_domains.h"
 #include "logic/placement/placement_counts.h"
+#include "logic/placement/region_rule.h"
 #include "logic/placement/target_health.h"
 
 #include <cstdint>
@@ -55,6 +56,7 @@
     /// Whether a replica that failed recently may be chosen.
     bool allowAvoided = true;
     LimitUse limitUse;
+    RegionRule regions;
 };
 
 /// The target chosen for a request, or the reason why there is none.
@@ -91,6 +93,8 @@
     void setConfig(const RoutingConfig &config, Instant now);
     /// Sets this instance's failure domain. Targets in other domains cost more.
     void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
+    /// Sets the region of each failure domain.
+    void setRegions(DomainRegions regions) { this->domainRegions = std::move(regions); }
     /// Sets how many entry instances share the targets' connections.
     void setInstanceCount(std::size_t count) { this->instances = count; }
     /// Sets the fleet's coordinators and whether this instance is one of them. There are none if
@@ -106,8 +110,8 @@
     /// there is none and the terms allow it, chooses the one whose avoidance ends first.
     TargetChoice choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
                         RandomEngine &random);
-    /// Returns whether some replica of the group is in use.
-    static bool hasUsable(const TargetGroup &group);
+    /// Returns whether some replica of the group is in use in a region that is allowed.
+    bool hasUsable(const TargetGroup &group, const RegionRule &rule) const;
     const PlacementCounts &placementCounts() const { return this->counts; }
     /// Called when a member reports limits that targets state.
     void onLimitsReported(const std::vector<StatedLimit> &stated, GatewayContext &context);
@@ -119,7 +123,8 @@
     TargetGroup *groupOf(const TargetId &target);
     /// Returns the problem if no usable replica may get a request now because of limits or pauses,
     /// or if there is none. Does not check connections or failures.
-    ChoiceProblem restrictionProblem(TargetGroup &group, const LimitUse &use, Instant now);
+    ChoiceProblem restrictionProblem(TargetGroup &group, const LimitUse &use,
+                                     const RegionRule &rule, Instant now);
     /// Returns the requests per second that the limited replicas of the group take.
     double limitedRate(const TargetGroup &group, Instant now) const;
     void onSent(TargetNode &target, TraceKind cause, Instant now);
@@ -213,6 +218,7 @@
     /// When the last pause that some target asked for ends.
     Instant lastPauseEnd {};
     FailureDomain failureDomain;
+    DomainRegions domainRegions;
     std::size_t instances = 1;
     std::size_t coordinatorCount = 0;
     bool isCoordinator = false;
--- a/logic/placement/target_choosing.cpp
+++ b/logic/placement/target_choosing.cpp
@@ -58,11 +58,12 @@
 }
 
 ChoiceProblem TargetRegistry::restrictionProblem(TargetGroup &group, const LimitUse &use,
-                                                 Instant now)
+                                                 const RegionRule &rule, Instant now)
 {
     ChoiceProblem problem = ChoiceProblem::NoTarget;
     for (const TargetNode *target : group.targets) {
-        if (!target->usable) {
+        if (!target->usable
+            || !rule.allowsTargetsIn(target->record.failureDomain, this->domainRegions)) {
             continue;
         }
         if (now < target->pausedUntil) {
@@ -86,6 +87,7 @@
     ChoiceProblem problem = ChoiceProblem::NoTarget;
     bool skipsEvacuated = false;
     bool skipsLost = false;
+    bool skipsFar = false;
     bool skipsCold = false;
     TargetNode *lostTarget = nullptr;
     for (TargetNode *target : group.targets) {
@@ -94,7 +96,9 @@
             || std::ranges::find(terms.excluded, target->record.id) != terms.excluded.end()) {
             continue;
         }
-        if (now < target->pausedUntil) {
+        if (!terms.regions.allowsTargetsIn(target->record.failureDomain, this->domainRegions)) {
+            skipsFar = true;
+        } else if (now < target->pausedUntil) {
             problem = std::max(problem, ChoiceProblem::Paused);
         } else if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
             problem = std::max(problem, ChoiceProblem::Limited);
@@ -121,6 +125,7 @@
     }
     this->counts.evacuated += skipsEvacuated ? 1 : 0;
     this->counts.lost += skipsLost ? 1 : 0;
+    this->counts.farRegion += skipsFar ? 1 : 0;
     this->counts.cold += skipsCold ? 1 : 0;
     if (lostTarget != nullptr && available.empty() && problem != ChoiceProblem::Avoided
         && problem != ChoiceProblem::Busy) {
