--- a/core/log_event.h
+++ b/core/log_event.h
@@ -68,6 +68,11 @@
     AccountHoldersFound = 702,
     ConfigBehind = 708,
     NewerConfigMissing = 709,
+    DomainEvacuated = 710,
+    EvacuationEnded = 711,
+    DomainLost = 712,
+    DomainReturned = 713,
+    TargetCold = 714,
 };
 
 /// The documentation of a log event.
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -106,6 +106,8 @@
     void onPaused(Instant now) { this->silentSince = now; }
     /// Called when this instance's path to the targets is down.
     void onPathBroken(GatewayContext &context);
+    /// Abandons the waiting parts of groups that have no replica in use any more.
+    void abandonUnservable(GatewayContext &context);
     /// Closes the attempts that run on connections which fell silent, so that they are tried again
     /// on new ones.
     void closeSilentAttempts(GatewayContext &context);
@@ -223,7 +225,9 @@
     // Observing the network path to the targets (forwarder_path.cpp).
 
     /// Records how an attempt ended.
-    void observeEnd(AttemptEndKind kind, const TargetId &target, GatewayContext &context);
+    void observeEnd(AttemptEndKind kind, const GatewayAttempt &attempt, GatewayContext &context);
+    /// Looks for lost failure domains if the path works.
+    void findLostDomains(GatewayContext &context);
     void observeReply(const AttemptReplied &event, GatewayContext &context);
     /// Sets the timer for observeSilence() unless it is set.
     void scheduleSilenceCheck(Instant at);
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -25,7 +25,7 @@
     : settings(settings), random(settings.seed), path(this->targets),
       storeSync(settings, this->targets), registration(settings),
       forwarder(this->targets, this->path, settings.retries, settings.logSampleOneIn),
-      delegator(settings.failureDomain, settings.logSampleOneIn, this->random()),
+      delegator(settings.failureDomain, settings.regions, settings.logSampleOneIn, this->random()),
       intake(delegationCapacity(settings)), quarantineRecorder(settings),
       accountCaps(settings.id, settings.firstStart)
 { }
@@ -51,6 +51,7 @@
     this->startedAt = context.now;
     this->targets.setInstanceCount(assumedInstances);
     this->targets.setFailureDomain(this->settings.failureDomain);
+    this->targets.setRegions(this->settings.regions);
     this->targets.limits().setSelf(this->settings.id);
     this->accountCaps.start(context.now);
     if (!this->settings.firstStart) {
@@ -331,6 +332,10 @@
     this->quarantineRecorder.onHistory(this->storeSync.history(), context);
     this->applyQuarantines(context);
     this->updateInstances(context.now);
+    this->targets.logNewlyCold(context);
+    if (!this->targets.evacuatedDomains().empty()) {
+        this->forwarder.abandonUnservable(context);
+    }
     if (this->storeSync.isReady() && !this->learnedState.isComplete()) {
         this->learnedState.onMembers(this->storeSync.otherMembers(), context);
     }
@@ -572,6 +577,10 @@
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
     status.accountUsage = this->accountCaps.usage();
+    status.evacuatedDomains = this->targets.evacuatedDomains().size();
+    status.coldTargets = this->targets.limits().coldCount(now);
+    status.lostDomains = this->targets.lostDomainCount();
+    status.placement = this->targets.placementCounts();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
     if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -58,6 +58,11 @@
     LimitCounts limitedAttempts;
     /// How the requests of capped accounts were decided.
     AccountUsage accountUsage;
+    std::size_t evacuatedDomains = 0;
+    std::size_t lostDomains = 0;
+    /// How many targets are limited because they are cold.
+    std::size_t coldTargets = 0;
+    PlacementCounts placement;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -127,6 +127,9 @@
     /// In a request: whether the sender reads compressed values. In a reply: whether the receiver
     /// said so.
     bool acceptsCompression = false;
+    /// A hash of the evacuated failure domains that the sender knows at the revision; 0 if it is of
+    /// a version that doesn't know evacuations.
+    std::uint64_t evacuationDigest = 0;
 };
 
 /// Another member sent changes from the store, or requested them.
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -133,7 +133,7 @@
 
     /// Returns the changes in a store answer that are more than heartbeats. Must be called before
     /// the answer is applied, because it compares with the known state.
-    std::shared_ptr<StoreUpdate> makeUpdate(const StoreAnswer &answer) const;
+    std::shared_ptr<StoreUpdate> makeUpdate(const StoreAnswer &answer, Instant now) const;
     void sendToMembers(const std::shared_ptr<StoreUpdate> &update, GatewayContext &context);
     /// Sends another member's update on to this instance's children in the relay tree.
     void relay(const StoreUpdate &update, GatewayContext &context);
@@ -149,11 +149,14 @@
     void requestState(GatewayContext &context);
     /// Returns whether a change differs from the known state in more than a heartbeat, or from what
     /// a member at this instance's position may know.
-    bool isStateChange(const StoreChange &change) const;
+    bool isStateChange(const StoreChange &change, Instant now) const;
     /// Returns a hash over all keys and their contents, without heartbeats.
     std::uint64_t digest() const;
+    /// Returns a hash of the evacuated failure domains, which are not in the other digest because
+    /// members of an older version don't keep them.
+    std::uint64_t evacuationDigest() const;
     /// Reads the whole store again when a member has a different state at the same revision.
-    void checkDigest(const StoreUpdate &update, GatewayContext &context);
+    void checkDigest(const StoreUpdateReceived &event, GatewayContext &context);
     /// Returns the position of this instance among the members ordered by name, from 0.
     std::ptrdiff_t rank() const;
     /// Returns how long a watch call lets the store wait for a change.
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -38,7 +38,7 @@
     return this->pollInterval + this->rankDelay * std::min(this->rank(), maxRank);
 }
 
-bool StoreSync::isStateChange(const StoreChange &change) const
+bool StoreSync::isStateChange(const StoreChange &change, Instant now) const
 {
     const auto *record = std::get_if<TargetRecord>(&change.content);
     const auto known = this->knownState.find(change.key);
@@ -56,12 +56,15 @@
         // position don't know them.
         return true;
     }
+    if (this->targets.coldTargetsKnown().isExtendedBy(*record, now)) {
+        return true;
+    }
     TargetRecord unchanged = *previous;
     unchanged.warmupLeft = record->warmupLeft;
     return unchanged != *record;
 }
 
-std::shared_ptr<StoreUpdate> StoreSync::makeUpdate(const StoreAnswer &answer) const
+std::shared_ptr<StoreUpdate> StoreSync::makeUpdate(const StoreAnswer &answer, Instant now) const
 {
     auto update = std::make_shared<StoreUpdate>();
     update->history = this->position.history;
@@ -70,7 +73,7 @@
     // A later change of a key may bring back what was known before the first one.
     std::unordered_set<std::string> changedKeys;
     for (const StoreChange &change : answer.changes) {
-        if (changedKeys.contains(change.key) || this->isStateChange(change)) {
+        if (changedKeys.contains(change.key) || this->isStateChange(change, now)) {
             changedKeys.insert(change.key);
             update->changes.push_back(change);
         }
@@ -87,6 +90,7 @@
     update->origin = this->self;
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
     update->digest = this->digest();
+    update->evacuationDigest = this->evacuationDigest();
     update->configVersion = this->configVersion();
     context.emit(std::move(effect));
 }
@@ -190,7 +194,7 @@
     if (!this->call && !this->health.isUnavailable() && this->rank() > 0) {
         this->nextCallAt = context.now + this->takeoverDelay();
     }
-    this->checkDigest(update, context);
+    this->checkDigest(event, context);
     this->requestNewerConfig(event, context);
 }
 
@@ -220,12 +224,35 @@
     return sum;
 }
 
-void StoreSync::checkDigest(const StoreUpdate &update, GatewayContext &context)
+std::uint64_t StoreSync::evacuationDigest() const
+{
+    std::uint64_t sum = 1;
+    for (const auto &[key, item] : this->knownState) {
+        sum += item.kind == StoreKeyKind::Evacuation ? XXH3_64bits(key.data(), key.size()) : 0;
+    }
+    return sum;
+}
+
+void StoreSync::checkDigest(const StoreUpdateReceived &event, GatewayContext &context)
 {
-    if (update.digest == 0 || update.digest == this->digest()
+    const StoreUpdate &update = event.update;
+    const auto differs = [](std::uint64_t theirs, std::uint64_t own) {
+        return theirs != 0 && theirs != own;
+    };
+    const bool evacuationsDiffer = differs(update.evacuationDigest, this->evacuationDigest());
+    if ((!evacuationsDiffer && !differs(update.digest, this->digest()))
         || context.now - this->digestMismatchAt < digestMismatchInterval) {
         return;
     }
+    if (evacuationsDiffer) {
+        // Either side may have missed a change that a member of an older version left out. The
+        // sender gets no updates that would show it, so it is told.
+        auto comparison = std::make_shared<StoreUpdate>();
+        comparison->history = this->position.history;
+        comparison->fromRevision = comparison->toRevision = this->position.revision;
+        comparison->evacuationDigest = this->evacuationDigest();
+        context.emit(SendStoreUpdate {{event.sender}, std::move(comparison)});
+    }
     this->digestMismatchAt = context.now;
     context.log(LogEvent::BeliefsDiffer,
                 {numberField("storeRevision", static_cast<std::int64_t>(update.toRevision))});
@@ -262,6 +289,14 @@
             }
         }
     }
+    if (update.evacuationDigest == 0) {
+        // A member of an older version does not keep these keys.
+        for (const auto &[key, item] : this->knownState) {
+            if (item.kind == StoreKeyKind::Evacuation) {
+                listedKeys.insert(key);
+            }
+        }
+    }
     this->position = end;
     this->confirmedAt = context.now;
     this->removeUnlisted(listedKeys, context);
@@ -283,6 +318,7 @@
     update->toRevision = this->position.revision;
     update->isFullState = true;
     update->acceptsCompression = event.update.acceptsCompression;
+    update->evacuationDigest = this->evacuationDigest();
     update->removalGrace = std::max<Duration>(this->removalGraceUntil - context.now, Duration(0));
     if (event.update.bucketDigests.size() == stateBuckets) {
         update->isPartialState = true;
--- a/logic/gateway/target_registry.cpp
+++ b/logic/gateway/target_registry.cpp
@@ -1,94 +1,15 @@
 #include "logic/gateway/target_registry.h"
 
+#include "logic/placement/covering_domains.h"
+
 #include <algorithm>
-#include <cmath>
 #include <iterator>
-#include <map>
 #include <random>
 #include <set>
 #include <utility>
 
 namespace lagoondeck {
 
-namespace {
-
-/// The fraction of a target's connection cap that is divided among the instances. The rest is a
-/// safety margin for instances that disagree about the fleet size and for instances that replace
-/// each other.
-constexpr double sharedCapFraction = 0.85;
-/// In a fleet with coordinators, the fraction of the cap that is divided among them. They send
-/// nearly all requests.
-constexpr double coordinatorCapFraction = 0.6;
-/// A failure domain covers the gathered groups if it holds at least this fraction of the groups
-/// that the best domain holds.
-constexpr double coveringFraction = 0.9;
-/// The weight of the newest request in the moving averages.
-constexpr double learningRate = 0.25;
-/// The upper limit of one request's contribution to the slowness, so that the effect of a short
-/// pause fades after a few requests.
-constexpr double maxSlownessSample = 5.0;
-/// Learned values lose half their weight in this time, so that a bad target is tried again.
-constexpr std::chrono::duration<double> learningHalfLife = std::chrono::seconds(3);
-/// How long a target is avoided after its first failure. The time doubles with each further failure
-/// in a row.
-constexpr Duration initialAvoidance = std::chrono::milliseconds(50);
-constexpr Duration maxAvoidance = std::chrono::seconds(2);
-constexpr std::uint32_t maxDoublings = 6;
-/// How long a target is avoided after it refused a request because of its load.
-constexpr Duration shedAvoidance = std::chrono::milliseconds(15);
-/// A target counts as stalled if a request has been running for this many times the late threshold.
-constexpr double stallFactor = 1.3;
-constexpr Duration minStallTime = std::chrono::milliseconds(12);
-/// The cost of a stalled target, in addition to the time that its oldest request has been running.
-constexpr double stallCostMs = 60.0;
-/// The wait for a loan of a request at a limited target.
-constexpr double loanCostMs = 10.0;
-/// The cost of a request that is certain to fail; multiplied by the failure rate.
-constexpr double failureCostMs = 120.0;
-/// Traffic between failure domains is charged for. A replica in this instance's domain is preferred
-/// as long as its latency is at most this many times that of a remote replica.
-constexpr double remoteCostFactor = 1.6;
-/// The same for a coordinator. It knows from its own requests whether the replica in its domain is
-/// slow now, so that the preference costs no latency.
-constexpr double coordinatorRemoteCostFactor = 2.5;
-/// The slowness that is assumed at least while a target warms up.
-constexpr double minWarmupSlowness = 1.6;
-/// The random variation of the cost, as a fraction. Without it, all instances would choose the same
-/// one of equal targets.
-constexpr double costJitter = 0.1;
-/// If more replicas than this are available, only two random ones are compared.
-constexpr std::size_t maxCompared = 4;
-
-/// Returns the remaining weight of the target's learned values, from 1 down to 0.
-double learnedWeight(const TargetNode &target, Instant now)
-{
-    const std::chrono::duration<double> age = now - target.learnedAt;
-    return std::exp2(-age / learningHalfLife);
-}
-
-double currentSlowness(const TargetNode &target, Instant now)
-{
-    return 1.0 + (target.slowness - 1.0) * learnedWeight(target, now);
-}
-
-template <typename Range>
-auto pickRandom(Range &range, RandomEngine &random)
-{
-    std::uniform_int_distribution<std::size_t> any(0, range.size() - 1);
-    return range.begin() + static_cast<std::ptrdiff_t>(any(random));
-}
-
-bool isStalled(const TargetNode &target, const LatencyModel &model, Instant now)
-{
-    if (target.sendTimes.empty()) {
-        return false;
-    }
-    const auto limit = std::chrono::duration_cast<Duration>(model.lateThreshold() * stallFactor);
-    return now - *target.sendTimes.begin() > std::max(limit, minStallTime);
-}
-
-} // namespace
-
 TargetGroup &TargetRegistry::group(const GroupName &name)
 {
     auto &group = this->groups[name];
@@ -108,28 +29,119 @@
         if (known.record.startedAtMs == record.startedAtMs && known.record.address == record.address
             && known.record.group == record.group) {
             known.record = record;
-            this->setUsable(known, !record.leaving && !known.hasAnnouncedLeaving);
+            this->updateUsable(known);
+            this->coldTargets.onEntry(record, now);
+            this->limitCold(known, now);
             return;
         }
         // Another process runs under the same id, so the learned values are invalid.
-        this->remove(record.id);
+        this->remove(record.id, now);
     }
     auto node = std::make_unique<TargetNode>();
     node->record = record;
     node->hasAnnouncedLeaving = this->announcements.isLeaving(record);
-    node->usable = !record.leaving && !node->hasAnnouncedLeaving;
+    node->usable = this->shouldBeUsable(*node);
     node->warmupUntil = now + record.warmupLeft;
     this->group(record.group).targets.push_back(node.get());
+    this->coldTargets.onAdded(record, now);
+    this->limitCold(*node, now);
     this->targets.emplace(record.id, std::move(node));
     ++this->changes;
 }
 
-void TargetRegistry::setUsable(TargetNode &target, bool usable)
+void TargetRegistry::limitCold(const TargetNode &target, Instant now)
+{
+    const TargetId &id = target.record.id;
+    const bool wasCold = this->targetLimits.isCold(id, now);
+    const auto cold = this->coldTargets.state(target.record, now);
+    if (!cold && !wasCold) {
+        return;
+    }
+    this->targetLimits.setCold(id, this->group(target.record.group).isGathered,
+                               cold ? cold->requestsPerSecond : 0.0, cold ? cold->until : now);
+    if (cold && !wasCold) {
+        this->newlyCold.push_back(id);
+    }
+}
+
+void TargetRegistry::logNewlyCold(GatewayContext &context)
 {
+    for (const TargetId &id : std::exchange(this->newlyCold, {})) {
+        const auto found = this->targets.find(id);
+        const auto cold = found == this->targets.end()
+                ? std::nullopt
+                : this->coldTargets.state(found->second->record, context.now);
+        if (cold) {
+            context.log(LogEvent::TargetCold,
+                        {{"target", id.value},
+                         {"domain", found->second->record.failureDomain.value},
+                         {"perSecond", std::to_string(cold->requestsPerSecond)},
+                         numberField("ms", toMilliseconds(cold->until - context.now))});
+        }
+    }
+}
+
+bool TargetRegistry::shouldBeUsable(const TargetNode &target) const
+{
+    return !target.record.leaving && !target.hasAnnouncedLeaving
+            && !this->evacuations.contains(target.record.failureDomain);
+}
+
+void TargetRegistry::updateUsable(TargetNode &target)
+{
+    const bool usable = this->shouldBeUsable(target);
     this->changes += target.usable != usable ? 1 : 0;
     target.usable = usable;
 }
 
+void TargetRegistry::beginEvacuation(const FailureDomain &domain, GatewayContext &context)
+{
+    if (!this->evacuations.add(domain, context.now)) {
+        return;
+    }
+    context.log(LogEvent::DomainEvacuated,
+                {{"domain", domain.value},
+                 numberField("targets", static_cast<std::int64_t>(this->updateDomain(domain)))});
+}
+
+void TargetRegistry::endEvacuation(const FailureDomain &domain, GatewayContext &context)
+{
+    const auto begunAt = this->evacuations.remove(domain);
+    if (!begunAt) {
+        return;
+    }
+    for (const auto &[id, target] : this->targets) {
+        if (target->record.failureDomain == domain) {
+            this->coldTargets.makeCold(target->record, context.now);
+            this->limitCold(*target, context.now);
+        }
+    }
+    context.log(LogEvent::EvacuationEnded,
+                {{"domain", domain.value},
+                 numberField("targets", static_cast<std::int64_t>(this->updateDomain(domain))),
+                 numberField("ms", toMilliseconds(context.now - *begunAt))});
+}
+
+std::size_t TargetRegistry::updateDomain(const FailureDomain &domain)
+{
+    std::size_t count = 0;
+    for (const auto &[id, target] : this->targets) {
+        if (target->record.failureDomain == domain) {
+            this->updateUsable(*target);
+            ++count;
+        }
+    }
+    return count;
+}
+
+bool TargetRegistry::hasUsable(const TargetGroup &group, const RegionRule &rule) const
+{
+    return std::ranges::any_of(group.targets, [&](const TargetNode *target) {
+        return target->usable
+                && rule.allowsTargetsIn(target->record.failureDomain, this->domainRegions);
+    });
+}
+
 void TargetRegistry::onReply(TargetNode &target, const ForwardedReply &reply,
                              GatewayContext &context)
 {
@@ -143,6 +155,35 @@
     if (reply.isTargetLeaving && reply.kind != ReplyClass::Unusable) {
         this->markLeaving(target, context);
     }
+    const FailureDomain &domain = target.record.failureDomain;
+    if (const auto length = this->lostDomains.onReply(domain, target.record.id, context.now)) {
+        context.log(LogEvent::DomainReturned,
+                    {{"domain", domain.value}, numberField("ms", toMilliseconds(*length))});
+    }
+}
+
+void TargetRegistry::onUnanswered(const TargetId &target, Instant sentAt, GatewayContext &context)
+{
+    if (const auto found = this->targets.find(target); found != this->targets.end()) {
+        this->lostDomains.onFailure(found->second->record.failureDomain, target, sentAt,
+                                    context.now);
+    }
+}
+
+void TargetRegistry::findLostDomains(GatewayContext &context)
+{
+    for (const FailureDomain &domain : this->lostDomains.suspects(context.now)) {
+        const auto usable = std::ranges::count_if(this->targets, [&](const auto &entry) {
+            return entry.second->usable && entry.second->record.failureDomain == domain;
+        });
+        if (this->lostDomains.confirm(domain, static_cast<std::size_t>(usable), context.now)) {
+            context.log(LogEvent::DomainLost,
+                        {{"domain", domain.value},
+                         numberField("failedTargets",
+                                     static_cast<std::int64_t>(this->lostDomains.failedTargets(
+                                             domain, context.now)))});
+        }
+    }
 }
 
 void TargetRegistry::onLeavingReported(const TargetId &target, GatewayContext &context)
@@ -158,7 +199,7 @@
         return;
     }
     this->announcements.addLeaving({target.record.id, target.record.startedAtMs}, context.now);
-    this->setUsable(target, false);
+    this->updateUsable(target);
     context.log(LogEvent::TargetLeaving, {{"target", target.record.id.value}});
 }
 
@@ -170,7 +211,7 @@
     ++this->changes;
 }
 
-void TargetRegistry::remove(const TargetId &target)
+void TargetRegistry::remove(const TargetId &target, Instant now)
 {
     const auto found = this->targets.find(target);
     if (found == this->targets.end()) {
@@ -178,6 +219,7 @@
     }
     this->detach(*found->second);
     this->targetLimits.forget(target);
+    this->coldTargets.onRemoved(found->second->record, now);
     if (found->second->inFlight > 0) {
         this->retired.push_back(std::move(found->second));
     }
@@ -187,11 +229,9 @@
 void TargetRegistry::forgetHealth()
 {
     for (const auto &[id, target] : this->targets) {
-        target->slowness = 1.0;
-        target->failureRate = 0.0;
-        target->consecutiveFailures = 0;
-        target->avoidUntil = {};
+        lagoondeck::forgetHealth(*target);
     }
+    this->lostDomains.clear();
 }
 
 std::size_t TargetRegistry::countUsable(std::size_t limit) const
@@ -227,7 +267,7 @@
     std::erase_if(this->retired, [](const auto &node) { return node->inFlight == 0; });
 }
 
-void TargetRegistry::setConfig(const RoutingConfig &config)
+void TargetRegistry::setConfig(const RoutingConfig &config, Instant now)
 {
     for (const auto &[name, cap] : config.connectionCaps) {
         TargetGroup &group = this->group(name);
@@ -239,6 +279,10 @@
             this->group(name).isGathered = true;
         }
     }
+    this->coldTargets.setLimits(config.coldLimits);
+    for (const auto &[id, target] : this->targets) {
+        this->limitCold(*target, now);
+    }
 }
 
 void TargetRegistry::setCoordinators(const std::vector<MemberRecord> &coordinators,
@@ -255,67 +299,27 @@
     for (const Route &route : config.routes) {
         gathered.insert(route.gather.begin(), route.gather.end());
     }
-    std::map<FailureDomain, std::size_t> groupsByDomain;
+    std::vector<std::set<FailureDomain>> domainsOfGroups;
     for (const GroupName &name : gathered) {
-        std::set<FailureDomain> domains;
+        std::set<FailureDomain> &domains = domainsOfGroups.emplace_back();
         for (const TargetNode *target : this->group(name).targets) {
             if (target->usable) {
                 domains.insert(target->record.failureDomain);
             }
         }
-        for (const FailureDomain &domain : domains) {
-            ++groupsByDomain[domain];
-        }
-    }
-    std::size_t most = 0;
-    for (const auto &[domain, count] : groupsByDomain) {
-        most = std::max(most, count);
-    }
-    std::vector<FailureDomain> covering;
-    for (const auto &[domain, count] : groupsByDomain) {
-        if (static_cast<double>(count) >= coveringFraction * static_cast<double>(most)) {
-            covering.push_back(domain);
-        }
     }
-    return covering;
-}
-
-bool TargetRegistry::hasCapacity(const TargetNode &target, const TargetGroup &group) const
-{
-    const double share = this->isCoordinator ? group.connectionCap * coordinatorCapFraction
-                    / static_cast<double>(this->coordinatorCount)
-                                             : group.connectionCap
-                    * (this->coordinatorCount > 0 ? sharedCapFraction - coordinatorCapFraction
-                                                  : sharedCapFraction)
-                    / static_cast<double>(std::max<std::size_t>(this->instances, 1));
-    return target.inFlight < std::max<std::uint32_t>(static_cast<std::uint32_t>(share), 1U);
-}
-
-double TargetRegistry::cost(const TargetNode &target, const LatencyModel &model, Instant now,
-                            RandomEngine &random) const
-{
-    const double queue = 1.0 + static_cast<double>(target.inFlight) / target.record.slots;
-    double slowness = currentSlowness(target, now)
-            * (!this->isRemote(target)       ? 1.0
-                       : this->isCoordinator ? coordinatorRemoteCostFactor
-                                             : remoteCostFactor);
-    if (now < target.warmupUntil) {
-        slowness = std::max(slowness, minWarmupSlowness);
-    }
-    std::uniform_real_distribution<double> jitter(1.0 - costJitter, 1.0 + costJitter);
-    double cost = toFractionalMilliseconds(model.median()) * slowness * queue * jitter(random);
-    cost += failureCostMs * target.failureRate * learnedWeight(target, now);
-    if (isStalled(target, model, now)) {
-        cost += stallCostMs + toFractionalMilliseconds(now - *target.sendTimes.begin());
-    }
-    return cost;
+    return lagoondeck::coveringDomains(domainsOfGroups);
 }
 
 void TargetRegistry::onLimitsReported(const std::vector<StatedLimit> &stated,
                                       GatewayContext &context)
 {
     for (const StatedLimit &limit : stated) {
-        if (const TargetGroup *group = this->groupOf(limit.target)) {
+        const auto found = this->targets.find(limit.target);
+        if (limit.coldLeft > Duration(0) && found != this->targets.end()) {
+            this->coldTargets.onReported(limit.target, context.now + limit.coldLeft);
+            this->limitCold(*found->second, context.now);
+        } else if (const TargetGroup *group = this->groupOf(limit.target)) {
             this->targetLimits.onReported(limit, group->isGathered, context);
         }
     }
@@ -344,19 +348,6 @@
     return found == this->targets.end() ? nullptr : &this->group(found->second->record.group);
 }
 
-void TargetRegistry::requestLoan(const TargetGroup &group, Instant now, RandomEngine &random)
-{
-    std::vector<const TargetNode *> replicas;
-    std::ranges::copy_if(group.targets, std::back_inserter(replicas),
-                         [&](const TargetNode *target) {
-                             return target->usable && now >= target->pausedUntil
-                                     && this->targetLimits.mayRequestLoan(target->record.id, now);
-                         });
-    if (!replicas.empty()) {
-        this->targetLimits.requestLoan((*pickRandom(replicas, random))->record.id, now, random);
-    }
-}
-
 LimitGrants TargetRegistry::lendLimits(const LimitRequested &event, GatewayContext &context)
 {
     // A member may know of a limit that this instance has not heard of yet.
@@ -370,26 +361,6 @@
     return this->targetLimits.lend(event.wishes, context.now);
 }
 
-ChoiceProblem TargetRegistry::restrictionProblem(TargetGroup &group, const LimitUse &use,
-                                                 Instant now)
-{
-    ChoiceProblem problem = ChoiceProblem::NoTarget;
-    for (const TargetNode *target : group.targets) {
-        if (!target->usable) {
-            continue;
-        }
-        if (now < target->pausedUntil) {
-            problem = std::max(problem, ChoiceProblem::Paused);
-            continue;
-        }
-        if (this->targetLimits.allows(target->record.id, use, now)) {
-            return ChoiceProblem::None;
-        }
-        problem = ChoiceProblem::Limited;
-    }
-    return problem;
-}
-
 double TargetRegistry::limitedRate(const TargetGroup &group, Instant now) const
 {
     double sum = 0.0;
@@ -399,83 +370,13 @@
     return sum;
 }
 
-TargetChoice TargetRegistry::choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
-                                    RandomEngine &random)
-{
-    std::vector<TargetNode *> available;
-    std::vector<TargetNode *> limited;
-    TargetNode *earliestAvoided = nullptr;
-    ChoiceProblem problem = ChoiceProblem::NoTarget;
-    for (TargetNode *target : group.targets) {
-        if (!target->usable
-            || std::ranges::find(terms.excluded, target->record.id) != terms.excluded.end()) {
-            continue;
-        }
-        if (now < target->pausedUntil) {
-            problem = std::max(problem, ChoiceProblem::Paused);
-        } else if (!this->targetLimits.allows(target->record.id, terms.limitUse, now)) {
-            problem = std::max(problem, ChoiceProblem::Limited);
-            if (this->hasCapacity(*target, group)
-                && this->targetLimits.mayRequestLoan(target->record.id, now)) {
-                limited.push_back(target);
-            }
-        } else if (!this->hasCapacity(*target, group)) {
-            problem = std::max(problem, ChoiceProblem::Busy);
-        } else if (now < target->avoidUntil) {
-            problem = ChoiceProblem::Avoided;
-            if (earliestAvoided == nullptr || target->avoidUntil < earliestAvoided->avoidUntil) {
-                earliestAvoided = target;
-            }
-        } else {
-            available.push_back(target);
-        }
-    }
-    const CostedTarget best = this->cheapest(std::move(available), terms.latency, now, random);
-    if (best.target != nullptr) {
-        // What a limit leaves to this instance is used first.
-        const bool isLimited =
-                this->targetLimits.perSecond(best.target->record.id, now).has_value();
-        const CostedTarget loan = this->cheapest(std::move(limited), terms.latency, now, random);
-        const bool isLoanCheaper =
-                !isLimited && loan.target != nullptr && loan.cost + loanCostMs < best.cost;
-        return {best.target, ChoiceProblem::None, isLoanCheaper ? loan.target : nullptr};
-    }
-    // Any replica will do, and unused parts of limits may lie at the holders of each of them.
-    TargetNode *loanTarget = limited.empty() ? nullptr : *pickRandom(limited, random);
-    if (terms.allowAvoided && earliestAvoided != nullptr) {
-        return {earliestAvoided, ChoiceProblem::None, loanTarget};
-    }
-    return {nullptr, problem, loanTarget};
-}
-
-TargetRegistry::CostedTarget TargetRegistry::cheapest(std::vector<TargetNode *> candidates,
-                                                      const LatencyModel &model, Instant now,
-                                                      RandomEngine &random) const
-{
-    if (candidates.size() > maxCompared) {
-        std::ranges::shuffle(candidates, random);
-        candidates.resize(2);
-    }
-    CostedTarget best;
-    for (TargetNode *target : candidates) {
-        const double cost = this->cost(*target, model, now, random);
-        if (best.target == nullptr || cost < best.cost) {
-            best = {target, cost};
-        }
-    }
-    return best;
-}
-
 void TargetRegistry::onSent(TargetNode &target, TraceKind cause, Instant now)
 {
     this->targetLimits.onSent(target.record.id, cause, now);
+    this->lostDomains.onSent(target.record.failureDomain, now);
     ++target.inFlight;
     target.sendTimes.insert(now);
-    if (target.isFailing()) {
-        // Allows only one trial request at a time until the target answers one.
-        const auto doublings = std::min(target.consecutiveFailures - 1, maxDoublings);
-        target.avoidUntil = now + std::min(initialAvoidance * (1U << doublings), maxAvoidance);
-    }
+    beginTrial(target, now);
 }
 
 void TargetRegistry::onEnded(TargetNode &target, Instant sentAt, TargetOutcome outcome,
@@ -485,36 +386,7 @@
     if (const auto found = target.sendTimes.find(sentAt); found != target.sendTimes.end()) {
         target.sendTimes.erase(found);
     }
-    if (outcome == TargetOutcome::Neutral) {
-        this->removeIdleRetired();
-        return;
-    }
-    const double weight = learnedWeight(target, now);
-    target.slowness = 1.0 + (target.slowness - 1.0) * weight;
-    target.failureRate *= weight;
-    target.learnedAt = now;
-    const bool failed = outcome != TargetOutcome::Answered && outcome != TargetOutcome::Slow
-            && outcome != TargetOutcome::Shed;
-    target.failureRate += learningRate
-            * ((failed || outcome == TargetOutcome::Shed ? 1.0 : 0.0) - target.failureRate);
-    if (outcome == TargetOutcome::Answered || outcome == TargetOutcome::Slow) {
-        const double median = std::max(toFractionalMilliseconds(model.median()), 0.1);
-        const double ratio =
-                std::min(toFractionalMilliseconds(now - sentAt) / median, maxSlownessSample);
-        target.slowness += learningRate * (ratio - target.slowness);
-    }
-    if (outcome == TargetOutcome::Slow) {
-        // It is unknown whether the target would have answered.
-    } else if (outcome == TargetOutcome::Answered) {
-        target.consecutiveFailures = 0;
-        target.avoidUntil = now;
-    } else if (outcome == TargetOutcome::Shed) {
-        target.avoidUntil = std::max(target.avoidUntil, now + shedAvoidance);
-    } else {
-        const auto doublings = std::min(target.consecutiveFailures, maxDoublings);
-        ++target.consecutiveFailures;
-        target.avoidUntil = now + std::min(initialAvoidance * (1U << doublings), maxAvoidance);
-    }
+    learnOutcome(target, sentAt, outcome, model, now);
     this->removeIdleRetired();
 }
 
--- a/logic/gateway/target_registry.h
+++ b/logic/gateway/target_registry.h
@@ -8,6 +8,12 @@
 #include "logic/gateway/target_announcements.h"
 #include "logic/gateway/target_limits.h"
 #include "logic/gateway/target_node.h"
+#include "logic/placement/cold_targets.h"
+#include "logic/placement/evacuated_domains.h"
+#include "logic/placement/lost_domains.h"
+#include "logic/placement/placement_counts.h"
+#include "logic/placement/region_rule.h"
+#include "logic/placement/target_health.h"
 
 #include <cstdint>
 #include <memory>
@@ -18,6 +24,8 @@
 
 namespace lagoondeck {
 
+enum class TargetDistance;
+
 /// The replicas of one group and the limits that all requests to the group share.
 struct TargetGroup
 {
@@ -30,18 +38,6 @@
     RetryBudget budget;
 };
 
-/// How one request at a target ended, as input for the target's health.
-enum class TargetOutcome {
-    Answered,
-    Shed,        ///< The target refused the request because of its load.
-    Failed,      ///< The target replied with an error or with malformed bytes.
-    Lost,        ///< The connection broke.
-    Unreachable, ///< No connection could be made.
-    Silent,      ///< The target did not reply in time.
-    Slow,        ///< Closed by this instance after several times the median latency.
-    Neutral,     ///< Closed by this instance earlier; says nothing about the target.
-};
-
 /// Why no target was chosen. Of several problems the last one in this order counts.
 enum class ChoiceProblem {
     None,
@@ -60,6 +56,7 @@
     /// Whether a replica that failed recently may be chosen.
     bool allowAvoided = true;
     LimitUse limitUse;
+    RegionRule regions;
 };
 
 /// The target chosen for a request, or the reason why there is none.
@@ -81,9 +78,19 @@
     /// Adds a target or updates its record. A new process under a known id replaces the old one.
     void update(const TargetRecord &record, Instant now);
     /// Removes a target. Requests that are still running there end normally.
-    void remove(const TargetId &target);
+    void remove(const TargetId &target, Instant now);
+    /// Called when all targets of the store have been listed.
+    void onListed() { this->coldTargets.onListed(); }
+    /// Logs the targets that have become cold since the last call.
+    void logNewlyCold(GatewayContext &context);
+    const ColdTargets &coldTargetsKnown() const { return this->coldTargets; }
+    /// Called when nothing more may be sent to the targets of a failure domain.
+    void beginEvacuation(const FailureDomain &domain, GatewayContext &context);
+    /// Called when the targets of a failure domain may get requests again.
+    void endEvacuation(const FailureDomain &domain, GatewayContext &context);
+    const EvacuatedDomains &evacuatedDomains() const { return this->evacuations; }
     /// Applies what the configuration says of the groups.
-    void setConfig(const RoutingConfig &config);
+    void setConfig(const RoutingConfig &config, Instant now);
     /// Sets this instance's failure domain. Targets in other domains cost more.
     void setFailureDomain(FailureDomain domain) { this->failureDomain = std::move(domain); }
     /// Returns true if the target is in another failure domain than this instance.
@@ -91,6 +98,8 @@
     {
         return target.record.failureDomain != this->failureDomain;
     }
+    /// Sets the region of each failure domain.
+    void setRegions(DomainRegions regions) { this->domainRegions = std::move(regions); }
     /// Sets how many entry instances share the targets' connections.
     void setInstanceCount(std::size_t count) { this->instances = count; }
     /// Sets the fleet's coordinators and whether this instance is one of them. There are none if
@@ -106,6 +115,9 @@
     /// there is none and the terms allow it, chooses the one whose avoidance ends first.
     TargetChoice choose(TargetGroup &group, const ChoiceTerms &terms, Instant now,
                         RandomEngine &random);
+    /// Returns whether some replica of the group is in use in a region that is allowed.
+    bool hasUsable(const TargetGroup &group, const RegionRule &rule) const;
+    const PlacementCounts &placementCounts() const { return this->counts; }
     /// Called when a member reports limits that targets state.
     void onLimitsReported(const std::vector<StatedLimit> &stated, GatewayContext &context);
     /// Requests one request at some limited replica of the group from another member.
@@ -116,12 +128,20 @@
     TargetGroup *groupOf(const TargetId &target);
     /// Returns the problem if no usable replica may get a request now because of limits or pauses,
     /// or if there is none. Does not check connections or failures.
-    ChoiceProblem restrictionProblem(TargetGroup &group, const LimitUse &use, Instant now);
+    ChoiceProblem restrictionProblem(TargetGroup &group, const LimitUse &use,
+                                     const RegionRule &rule, Instant now);
     /// Returns the requests per second that the limited replicas of the group take.
     double limitedRate(const TargetGroup &group, Instant now) const;
     void onSent(TargetNode &target, TraceKind cause, Instant now);
     /// Applies what a target says of itself in a reply.
     void onReply(TargetNode &target, const ForwardedReply &reply, GatewayContext &context);
+    /// Called when no connection to a target could be made, or when the reply to a request that was
+    /// sent at the given time is overdue.
+    void onUnanswered(const TargetId &target, Instant sentAt, GatewayContext &context);
+    /// Looks for failure domains of which no target replies. Must be called only while this
+    /// instance's own path to the targets works.
+    void findLostDomains(GatewayContext &context);
+    std::size_t lostDomainCount() const { return this->lostDomains.lostCount(); }
     /// Returns the targets that said that they are leaving, and the limits that targets state.
     void describe(LearnedState &state, Instant now) const;
     /// Called when a member knows that a process of a target said that it is leaving.
@@ -153,10 +173,12 @@
         return this->targets;
     }
     std::size_t instanceCount() const { return this->instances; }
-    /// Returns whether some target limits its requests or asked this instance to pause.
+    /// Returns whether some target limits its requests or asked this instance to pause, or whether
+    /// a failure domain is evacuated.
     bool hasRestrictions(Instant now) const
     {
-        return !this->targetLimits.empty() || now < this->lastPauseEnd;
+        return !this->targetLimits.empty() || now < this->lastPauseEnd
+                || !this->evacuations.empty();
     }
     /// The limits that targets state.
     TargetLimits &limits() { return this->targetLimits; }
@@ -172,15 +194,19 @@
         double cost = 0.0;
     };
 
-    /// Returns the expected cost of sending a request to the target, in milliseconds of latency.
-    double cost(const TargetNode &target, const LatencyModel &model, Instant now,
-                RandomEngine &random) const;
+    TargetDistance distanceOf(const TargetNode &target) const;
     /// Returns the candidate with the lowest cost, or none. Compares only two of many candidates.
     CostedTarget cheapest(std::vector<TargetNode *> candidates, const LatencyModel &model,
                           Instant now, RandomEngine &random) const;
     void markLeaving(TargetNode &target, GatewayContext &context);
     void detach(TargetNode &target);
-    void setUsable(TargetNode &target, bool usable);
+    /// Returns whether the target may get new requests.
+    bool shouldBeUsable(const TargetNode &target) const;
+    void updateUsable(TargetNode &target);
+    /// Applies what is known of the target's being cold to its limit.
+    void limitCold(const TargetNode &target, Instant now);
+    /// Updates the targets of a failure domain. Returns their number.
+    std::size_t updateDomain(const FailureDomain &domain);
     void removeIdleRetired();
 
     std::unordered_map<TargetId, std::unique_ptr<TargetNode>> targets;
@@ -189,9 +215,15 @@
     std::unordered_map<GroupName, std::unique_ptr<TargetGroup>> groups;
     TargetLimits targetLimits;
     TargetAnnouncements announcements;
+    EvacuatedDomains evacuations;
+    LostDomains lostDomains;
+    ColdTargets coldTargets;
+    std::vector<TargetId> newlyCold;
+    PlacementCounts counts;
     /// When the last pause that some target asked for ends.
     Instant lastPauseEnd {};
     FailureDomain failureDomain;
+    DomainRegions domainRegions;
     std::size_t instances = 1;
     std::size_t coordinatorCount = 0;
     bool isCoordinator = false;
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -70,10 +70,12 @@
     update.toRevision = 5;
     update.history = 3;
     update.configVersion = 12;
+    update.evacuationDigest = 34;
     const auto read = readStoreUpdate(*writeStoreUpdate(update, true, "b", "127.0.0.1:2"));
     REQUIRE(read);
     CHECK(read->update.history == 3);
     CHECK(read->update.configVersion == 12);
+    CHECK(read->update.evacuationDigest == 34);
 }
 
 TEST_CASE("a report of limits is decoded to the values that were encoded")
@@ -120,7 +122,9 @@
 {
     LearnedState state;
     state.suspects = {{Fingerprint(7), 4, std::chrono::seconds(3)}};
-    state.limits = {{TargetId("t"), 2.5}, {TargetId("u"), std::nullopt}};
+    state.limits = {{TargetId("t"), 2.5},
+                    {TargetId("u"), std::nullopt},
+                    {TargetId("v"), 4.0, std::chrono::seconds(7)}};
     state.leavingTargets = {{TargetId("v"), 1700000000000}};
     state.isComplete = false;
     state.configVersion = 12;
--- a/tests/logic/gateway/gateway_fleet.h
+++ b/tests/logic/gateway/gateway_fleet.h
@@ -126,6 +126,9 @@
     /// Cuts an instance off from all targets, or ends the cut. Callers, the store and the other
     /// members reach it all the time.
     void cut(std::size_t instance, PathCut how);
+    /// From now on the domain's targets neither reply nor take connections, and its instances are
+    /// gone; or its targets are back.
+    void setDomainLost(std::size_t domain, bool isLost);
     /// From now on no message of the instance reaches another member.
     void silence(std::size_t instance) { this->silenced.insert(instance); }
     /// From now on the instance can't reach the store.
@@ -238,6 +241,7 @@
     std::set<std::size_t> silenced;
     std::set<std::size_t> withoutStore;
     std::uint64_t storeRevision = 10;
+    std::set<FailureDomain> lostDomains;
     std::map<std::uint64_t, Instant> sentAt;
     std::map<std::uint64_t, std::string> prefixes;
     std::map<std::uint64_t, std::size_t> receivers;
