Serve waiting parts by turns and refuse what can't be sent in time

The parts that wait for a target of a group were sent first in first out, and a request waited a fifth of its objective although too many were ahead of it. They now wait in a GroupQueue. A part that the measured completions can't serve in time is given up at once (721: too many wait); a request for which nothing was sent is refused as not run, with a Retry-After that tells when the queue has drained. A gathered request is refused before anything is sent for it if too many of its parts are late. The host of the caller's connection identifies it.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -109,6 +109,10 @@
          "why."},
         {LogEvent::LogLinesDropped, "LogLinesDropped", LogSeverity::Warning,
          "Log lines were dropped because there were too many or the log was not read."},
+        {LogEvent::WaitTooLong, "WaitTooLong", LogSeverity::Info,
+         "A waiting part was given up because the parts ahead of it take longer than it may wait."},
+        {LogEvent::WaitQueueFull, "WaitQueueFull", LogSeverity::Warning,
+         "A waiting part was given up because too many parts wait for its group."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -63,6 +63,8 @@
     RequestServed = 600,
     RequestTroubled = 601,
     LogLinesDropped = 610,
+    WaitTooLong = 720,
+    WaitQueueFull = 721,
 };
 
 /// The documentation of a log event.
--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -186,6 +186,19 @@
     return std::chrono::microseconds(info.tcpi_rtt);
 }
 
+const std::string &ByteStream::peerHost() const
+{
+    if (!this->knownPeerHost) {
+        try {
+            this->knownPeerHost = this->socket.peerAddress().host().toString();
+        } catch (const Poco::Exception &) {
+            // The peer has reset the connection already.
+            this->knownPeerHost.emplace();
+        }
+    }
+    return *this->knownPeerHost;
+}
+
 void ByteStream::finishWriting()
 {
     try {
--- a/drivers/edge/byte_stream.h
+++ b/drivers/edge/byte_stream.h
@@ -50,6 +50,9 @@
     /// Returns the network round trip time to the peer as the operating system has measured it.
     std::optional<Duration> roundTripTime() const;
 
+    /// Returns the peer's address without its port; empty if it is unknown. It is read once.
+    const std::string &peerHost() const;
+
     bool isConnected() const { return this->established; }
     /// Returns true if at least one byte was sent since the last call of resetWritten().
     bool hasWritten() const { return this->anyWritten; }
@@ -68,6 +71,7 @@
 
     EdgeLoop &loop;
     Poco::Net::StreamSocket socket;
+    mutable std::optional<std::string> knownPeerHost;
     std::string output;
     bool established = false;
     bool anyWritten = false;
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "core/exposition_writer.h"
 
+#include <string>
 #include <string_view>
 
 namespace lagoondeck {
@@ -94,6 +95,17 @@
     writer.sample({}, this->iterationTimes);
     writeCounter(writer, "lagoondeck_attempts_without_budget_total",
                  "Hedges and retries that the budget did not allow.", status.counts.withoutBudget);
+    writer.begin("lagoondeck_waiting_parts", MetricKind::Gauge,
+                 "Parts that wait for a target, by how many more urgent priorities there are.");
+    for (const auto &[rank, count] : status.waitingByRank) {
+        writer.sample({{"rank", std::to_string(rank)}}, static_cast<double>(count));
+    }
+    writeCounter(writer, "lagoondeck_requests_refused_too_late_total",
+                 "Requests that were refused because they could not be sent in time.",
+                 status.counts.refusedTooLate);
+    writeCounter(writer, "lagoondeck_parts_sent_by_guarantee_total",
+                 "Parts that were sent before their turn so that no account is starved.",
+                 status.sentByGuarantee);
     writeGauge(writer, "lagoondeck_targets_limited",
                "Targets that limit the requests of the whole fleet.",
                static_cast<double>(status.limitedTargets));
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -313,11 +313,11 @@
     const ExchangeId exchange(++this->lastExchangeId);
     this->exchanges.emplace(exchange, PendingRequest {connection.id(), std::move(method), close});
     this->exchangeByConnection[connection.id()] = exchange;
-    this->pendingEvents.push_back(
-            RequestArrived {exchange,
-                            std::make_shared<const ForwardedRequest>(std::move(*request)),
-                            {connection.roundTripTime(), connection.requestCount() == 1},
-                            monotonicNow() - connection.requestArrivedAfter()});
+    this->pendingEvents.push_back(RequestArrived {
+            exchange,
+            std::make_shared<const ForwardedRequest>(std::move(*request)),
+            {connection.roundTripTime(), connection.requestCount() == 1, connection.peerHost()},
+            monotonicNow() - connection.requestArrivedAfter()});
 }
 
 void GatewayNode::onCallerLeft(ServerConnection &connection)
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -36,6 +36,8 @@
     std::uint64_t id() const { return this->connectionId; }
     /// Returns the round trip time to the peer, if it is known.
     std::optional<Duration> roundTripTime() const { return this->stream.roundTripTime(); }
+    /// Returns the peer's address without its port; empty if it is unknown.
+    const std::string &peerHost() const { return this->stream.peerHost(); }
     /// Returns how many complete requests were read.
     std::uint64_t requestCount() const { return this->requestsRead; }
     /// Returns a time after which the first byte of the latest request arrived.
--- a/logic/gateway/admitted_request.h
+++ b/logic/gateway/admitted_request.h
@@ -35,6 +35,8 @@
     const Route *route = nullptr;
     /// The caller's account in the configuration, or null if it has none.
     const ClientAccount *account = nullptr;
+    /// The host from which the caller is connected; empty if it is unknown.
+    std::string caller;
     /// How many more urgent priorities have routes to the same groups.
     std::uint32_t urgencyRank = 0;
     Instant arrivedAt {};
--- a/logic/gateway/exchange.h
+++ b/logic/gateway/exchange.h
@@ -44,6 +44,12 @@
     std::uint32_t lostConnections = 0;
     /// Whether the part was given up because of the limits of its replicas.
     bool limitReached = false;
+    /// Whether the part waits in the queue of its group.
+    bool isQueued = false;
+    /// Whether the part was given up because the parts ahead of it in the queue take too long.
+    bool isTooLate = false;
+    /// Whether the part was given up because it was queued for as long as it may be.
+    bool queueTimePassed = false;
     /// Until when the part waits for another member to lend an extra arrival. Instant::min() if no
     /// loan was requested.
     Instant loanDeadline = Instant::min();
--- a/logic/gateway/exchange_end.cpp
+++ b/logic/gateway/exchange_end.cpp
@@ -46,6 +46,8 @@
         return "no-path";
     case EndReason::TargetsLimited:
         return "targets-limited";
+    case EndReason::QueueTooLong:
+        return "queue-too-long";
     case EndReason::TargetFailed:
         return "target-failed";
     case EndReason::TargetsFailed:
--- a/logic/gateway/exchange_end.h
+++ b/logic/gateway/exchange_end.h
@@ -30,6 +30,7 @@
     NoTarget,       ///< No replica accepted the request.
     NoPath,         ///< This instance reaches no target, and no member took the request.
     TargetsLimited, ///< The limits of the targets left no request.
+    QueueTooLong,   ///< Too many requests waited for the targets ahead of it.
     TargetFailed,   ///< A target's own failure reply was passed on.
     TargetsFailed,  ///< All attempts failed, and no further one was allowed.
     DeadlinePassed,
--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -81,6 +81,26 @@
     context.log(eventOf(end), std::move(fields));
 }
 
+void logLatePart(const Exchange &exchange, std::size_t part, const LatePart &late,
+                 GatewayContext &context)
+{
+    std::vector<LogField> fields {{"request", exchange.request->requestId},
+                                  {"group", exchange.parts[part].group->name.value}};
+    if (exchange.account != nullptr) {
+        fields.push_back({"account", exchange.account->name});
+    }
+    if (!exchange.caller.empty()) {
+        fields.push_back({"caller", exchange.caller});
+    }
+    fields.push_back(numberField("urgencyRank", exchange.urgencyRank));
+    fields.push_back(numberField("ahead", static_cast<std::int64_t>(late.ahead)));
+    fields.push_back(
+            numberField("completionsPerS", static_cast<std::int64_t>(late.completionsPerSecond)));
+    fields.push_back(numberField("timeLeftMs", toMilliseconds(late.timeLeft)));
+    context.log(late.cause == LateCause::Full ? LogEvent::WaitQueueFull : LogEvent::WaitTooLong,
+                std::move(fields));
+}
+
 void logDelegatedEnd(const AdmittedRequest &request, const ExchangeEnd &end,
                      const InstanceId &coordinator, std::uint64_t sampleOneIn,
                      GatewayContext &context)
--- a/logic/gateway/exchange_log.h
+++ b/logic/gateway/exchange_log.h
@@ -4,6 +4,7 @@
 #include "logic/gateway/exchange.h"
 #include "logic/gateway/exchange_end.h"
 #include "logic/gateway/gateway_effects.h"
+#include "logic/workload/late_part.h"
 
 #include <cstdint>
 
@@ -24,4 +25,8 @@
                      const InstanceId &coordinator, std::uint64_t sampleOneIn,
                      GatewayContext &context);
 
+/// Logs why a waiting part is given up before its time has passed.
+void logLatePart(const Exchange &exchange, std::size_t part, const LatePart &late,
+                 GatewayContext &context);
+
 } // namespace lagoondeck
--- a/logic/gateway/exchange_trace.cpp
+++ b/logic/gateway/exchange_trace.cpp
@@ -34,6 +34,8 @@
         return "avoided";
     case TraceKind::Paused:
         return "paused";
+    case TraceKind::TooLate:
+        return "too-late";
     case TraceKind::Limited:
         return "limited";
     case TraceKind::PathDown:
--- a/logic/gateway/exchange_trace.h
+++ b/logic/gateway/exchange_trace.h
@@ -24,6 +24,7 @@
     NoTarget, ///< No usable replica is known.
     Avoided,  ///< All replicas failed recently, and the other parts reach the minimum coverage.
     Paused,   ///< All usable replicas asked this instance to pause.
+    TooLate,  ///< The parts that waited ahead of the part took too long.
     Limited,  ///< The limits of all replicas leave no request.
     PathDown, ///< This instance's path to the targets is broken.
     NoBudget, ///< Another attempt would exceed the group's retry budget.
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -103,6 +103,7 @@
     request.config = routes.config();
     request.route = route;
     request.account = identified->account;
+    request.caller = event.path.host;
     request.arrivedAt = context.now;
     request.objectiveAt = context.now + route->objective - std::min(margin, maxMargin);
     request.lateAt = context.now + route->objective - std::min(networkTime, maxMargin);
@@ -145,7 +146,7 @@
     for (Part &part : exchange.parts) {
         part.group->budget.onRequest(context.now);
     }
-    if (this->refuseRestricted(exchange, context)) {
+    if (this->refuseRestricted(exchange, context) || this->refuseLate(exchange, context)) {
         return;
     }
     for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
@@ -171,8 +172,11 @@
     }
 }
 
-void Forwarder::erase(const Exchange &exchange)
+void Forwarder::erase(Exchange &exchange, Instant now)
 {
+    for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
+        this->removeQueued(exchange, i, now);
+    }
     if (exchange.origin) {
         this->delegatedExchanges.erase({exchange.origin->member, exchange.origin->number});
     }
@@ -186,6 +190,10 @@
     const auto found = this->attempts.find(id);
     GatewayAttempt attempt = found->second;
     this->attempts.erase(found);
+    if (const auto queue = this->waitingParts.find(attempt.group->name);
+        queue != this->waitingParts.end()) {
+        queue->second.onCompleted(attempt.group->targets.size(), context.now);
+    }
     this->targets.onEnded(*attempt.target, attempt.sentAt, outcome, *attempt.latency, context.now);
     attempt.target = nullptr;
     if (attempt.exchange) {
@@ -290,7 +298,7 @@
     logExchangeEnd(*exchange->request,
                    this->makeExchangeEnd(*exchange, EndReason::CallerLeft, 0, context.now),
                    exchange, this->sampleOneIn, context);
-    this->erase(*exchange);
+    this->erase(*exchange, context.now);
 }
 
 void Forwarder::closeOverdueAttempt(AttemptId id, GatewayContext &context)
--- a/logic/gateway/forwarder.h
+++ b/logic/gateway/forwarder.h
@@ -9,6 +9,7 @@
 #include "logic/gateway/split_choice.h"
 #include "logic/gateway/target_path.h"
 #include "logic/gateway/target_registry.h"
+#include "logic/workload/group_queue.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,8 @@
     std::uint64_t retries = 0;
     /// Attempts that were not sent at once because the retry budget was spent.
     std::uint64_t withoutBudget = 0;
+    /// Requests that were refused because they could not be sent in time, or too many waited.
+    std::uint64_t refusedTooLate = 0;
 
     // How attempts ended.
 
@@ -83,6 +86,11 @@
     std::size_t exchangesInFlight() const { return this->exchanges.size(); }
     std::size_t attemptsInFlight() const { return this->attempts.size(); }
     const ForwarderCounts &counts() const { return this->attemptCounts; }
+    /// Returns how many parts wait for a target, by the urgency rank of their requests.
+    std::map<std::uint32_t, std::size_t> waitingByRank() const;
+    /// Returns how many parts were sent before their turn so that their account and priority were
+    /// not starved.
+    std::uint64_t sentByGuarantee() const;
     /// Called when this instance or a member observed a request that may crash targets.
     void onCrash(const CrashObservation &observation, GatewayContext &context);
     /// Called when a member or the store tells of a request that crashed targets earlier. The
@@ -132,13 +140,6 @@
 
         bool operator>(const Timer &other) const { return this->at > other.at; }
     };
-    /// A queued part of an exchange. The exchange may have ended in the meantime.
-    struct WaitingPart
-    {
-        ExchangeId exchange;
-        std::size_t part = 0;
-    };
-
     Exchange *find(ExchangeId id);
     LatencyModel &latencyOf(const Route &route);
 
@@ -151,7 +152,7 @@
     void updateLimit(const GatewayAttempt &attempt, const ForwardedReply &reply,
                      GatewayContext &context);
     /// Removes an exchange that has ended.
-    void erase(const Exchange &exchange);
+    void erase(Exchange &exchange, Instant now);
 
     // Sending attempts.
 
@@ -163,6 +164,26 @@
     void hedge(Exchange &exchange, std::size_t index, GatewayContext &context);
     /// Called after an attempt failed. Sends another one or abandons the part.
     void retry(Exchange &exchange, std::size_t index, GatewayContext &context);
+    /// Queues a part until a replica has capacity. Gives up what can't be sent in time, which may
+    /// be the part itself.
+    void enqueue(Exchange &exchange, std::size_t index, GatewayContext &context);
+    /// Removes a part that is not sent from its queue, if it is queued.
+    void removeQueued(Exchange &exchange, std::size_t index, Instant now);
+    /// Gives up the queued parts that can't be sent in time.
+    void abandonLate(TargetGroup &group, GatewayContext &context);
+    void markLate(Exchange &exchange, std::size_t index, const LatePart &late,
+                  GatewayContext &context);
+    /// Refuses a gathered exchange if its parts that can't be sent in time make the minimum
+    /// coverage impossible. Nothing has been sent for it.
+    bool refuseLate(Exchange &exchange, GatewayContext &context);
+    /// Returns until when a queued part of the exchange is sent.
+    Instant startBy(const Exchange &exchange);
+    /// Lets the queued parts of a gathered exchange wait longer, because something was sent for it.
+    void extendQueueTimes(const Exchange &exchange);
+    /// Returns until when the exchange waits in queues if nothing was sent for it.
+    Instant queueDeadline(const Exchange &exchange);
+    /// Returns when the queues that the exchange left without being sent will have drained.
+    Duration queueRetryDelay(const Exchange &exchange, GatewayContext &context) const;
     /// Sends queued parts as long as the group's replicas have capacity.
     void sendWaitingParts(TargetGroup &group, GatewayContext &context);
     /// Returns when an attempt sent now should be hedged; Instant::max() for never.
@@ -252,7 +273,7 @@
     std::map<std::pair<InstanceId, std::uint64_t>, ExchangeId> delegatedExchanges;
     std::unordered_map<AttemptId, GatewayAttempt> attempts;
     /// Parts that wait for a replica with capacity.
-    std::unordered_map<GroupName, std::deque<WaitingPart>> waitingParts;
+    std::unordered_map<GroupName, GroupQueue> waitingParts;
     /// Parts that wait for a budget loan.
     std::unordered_map<GroupName, std::deque<WaitingPart>> partsAwaitingLoan;
     /// Parts that wait for a loan of a request at a limited target, by target.
--- a/logic/gateway/forwarder_ending.cpp
+++ b/logic/gateway/forwarder_ending.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 constexpr int minErrorStatus = 400;
-/// A request waits for a replica with capacity for at most its objective divided by this. If it is
-/// refused then, another instance can still serve it in time.
-constexpr int maxQueueTimeDivisor = 5;
 /// How many median latencies to wait for the replies that an answered exchange no longer needs,
 /// which keeps their connections usable. A target that takes longer is overloaded or stalled, and
 /// closing the connection frees its slot.
@@ -91,7 +88,7 @@
     this->detachAttempts(exchange,
                          context.now + losingAttemptMedianFactor * exchange.latency->median(),
                          context);
-    this->erase(exchange);
+    this->erase(exchange, context.now);
 }
 
 Duration Forwarder::retryDelayFor(const Exchange &exchange, GatewayContext &context) const
@@ -128,9 +125,15 @@
         return;
     } else if (!exchange.mayHaveRun() && context.now >= this->latestStart(exchange)) {
         this->refuseUnsent(exchange, context);
+    } else if (!exchange.mayHaveRun() && std::ranges::any_of(exchange.parts, &Part::isTooLate)) {
+        ++this->attemptCounts.refusedTooLate;
+        reply.status = forwarding::statusUnavailable;
+        reply.retryAfter = this->queueRetryDelay(exchange, context);
+        reply.detail = "not run: too many requests wait for the targets";
+        this->finish(exchange, std::move(reply), EndReason::QueueTooLong, context);
     } else if (!exchange.mayHaveRun()) {
         reply.status = forwarding::statusUnavailable;
-        reply.retryAfter = forwarding::retryAfterRefusal;
+        reply.retryAfter = this->queueRetryDelay(exchange, context);
         reply.detail = "not run: no target could take the request";
         this->finish(exchange, std::move(reply), EndReason::NoTarget, context);
     } else if (context.now >= exchange.deadlineAt) {
@@ -192,9 +195,7 @@
         this->fail(exchange, context);
         return;
     }
-    const Instant queueDeadline =
-            std::min(exchange.arrivedAt + exchange.route->objective / maxQueueTimeDivisor,
-                     this->latestStart(exchange));
+    const Instant queueDeadline = this->queueDeadline(exchange);
     Instant next = exchange.deadlineAt;
     if (gathers && context.now < exchange.objectiveAt) {
         next = std::min(next, exchange.objectiveAt);
@@ -220,6 +221,7 @@
             next = std::min(next, std::max(part.limitLoanDeadline, context.now + Duration(1000)));
         } else if (part.phase == PartPhase::Waiting && part.loanDeadline != Instant::min()) {
             if (context.now >= part.loanDeadline) {
+                this->removeQueued(exchange, i, context.now);
                 part.phase = PartPhase::Abandoned;
                 partAbandoned = true;
             } else {
@@ -227,7 +229,9 @@
             }
         } else if (part.phase == PartPhase::Waiting) {
             if (context.now >= queueDeadline && !(gathers && exchange.mayHaveRun())) {
+                this->removeQueued(exchange, i, context.now);
                 part.phase = PartPhase::Abandoned;
+                part.queueTimePassed = true;
                 partAbandoned = true;
             } else {
                 next = std::min(next, std::max(queueDeadline, context.now + Duration(1000)));
--- a/logic/gateway/forwarder_path.cpp
+++ b/logic/gateway/forwarder_path.cpp
@@ -127,7 +127,7 @@
     } else {
         this->stranded.push_back(static_cast<const AdmittedRequest &>(exchange));
     }
-    this->erase(exchange);
+    this->erase(exchange, context.now);
     return true;
 }
 
--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -1,5 +1,6 @@
 // The part of Forwarder that chooses targets for the parts of an exchange and sends attempts.
 
+#include "logic/gateway/exchange_log.h"
 #include "logic/gateway/forwarder.h"
 #include "logic/gateway/forwarding_constants.h"
 
@@ -24,6 +25,16 @@
     return {part.triedTargets, *exchange.latency, !isOptional, {exchange.urgencyRank, isOptional}};
 }
 
+/// A request waits for a replica with capacity for at most its objective divided by this. If it is
+/// refused then, another instance can still serve it in time.
+constexpr int maxQueueTimeDivisor = 5;
+
+WaitingSender senderOf(const Exchange &exchange)
+{
+    return {exchange.urgencyRank, exchange.account == nullptr ? "" : exchange.account->name,
+            exchange.caller};
+}
+
 /// Returns true if the part should wait for a request at a limited replica.
 bool canAwaitLoan(const Part &part, const TargetChoice &choice, Instant now)
 {
@@ -62,9 +73,7 @@
     } else if (choice.target != nullptr) {
         this->sendTo(exchange, index, *choice.target, kind, context);
     } else if (choice.problem == ChoiceProblem::Busy) {
-        part.phase = PartPhase::Waiting;
-        exchange.recordStep(TraceKind::Wait, index, {}, context.now);
-        this->waitingParts[part.group->name].push_back({exchange.id, index});
+        this->enqueue(exchange, index, context);
     } else if (choice.problem == ChoiceProblem::Limited) {
         if (isOptional) {
             // This answer goes out without the part, but the next ones are likely to need it too.
@@ -192,12 +201,14 @@
     this->timers.push({exchange.deadlineAt + closeAfterDeadline, TimerKind::Attempt, id.value});
     this->scheduleSilenceCheck(context.now + forwarding::minSilence);
     this->targets.onSent(target, kind, context.now);
+    this->removeQueued(exchange, index, context.now);
     part.runningAttempts.push_back(id);
     part.triedTargets.push_back(target.record.id);
     part.phase = PartPhase::Running;
     part.limitLoanRequested = false;
     ++part.possibleRuns;
     ++part.arrivedAttempts;
+    this->extendQueueTimes(exchange);
     part.hedgeAt = part.runningAttempts.size() == 1 && part.possibleRuns < exchange.route->attempts
             ? this->hedgeTimeFor(exchange, context.now)
             : Instant::max();
@@ -295,41 +306,185 @@
     this->dispatch(exchange, index, TraceKind::Retry, context);
 }
 
+Instant Forwarder::queueDeadline(const Exchange &exchange)
+{
+    return std::min(exchange.arrivedAt + exchange.route->objective / maxQueueTimeDivisor,
+                    this->latestStart(exchange));
+}
+
+Instant Forwarder::startBy(const Exchange &exchange)
+{
+    return exchange.route->gathers() && exchange.mayHaveRun()
+            ? std::min(exchange.deadlineAt - forwarding::replyTransfer, this->latestStart(exchange))
+            : this->queueDeadline(exchange);
+}
+
+void Forwarder::enqueue(Exchange &exchange, std::size_t index, GatewayContext &context)
+{
+    Part &part = exchange.parts[index];
+    part.phase = PartPhase::Waiting;
+    exchange.recordStep(TraceKind::Wait, index, {}, context.now);
+    if (std::exchange(part.isQueued, true)) {
+        return;
+    }
+    GroupQueue &queue = this->waitingParts[part.group->name];
+    const WaitingSender sender = senderOf(exchange);
+    const Instant startBy = this->startBy(exchange);
+    if (const auto late = queue.outlook(sender, startBy, context.now)) {
+        queue.countRefused(sender);
+        this->markLate(exchange, index, *late, context);
+        return;
+    }
+    queue.add({exchange.id, index}, sender, startBy, context.now);
+    this->abandonLate(*part.group, context);
+}
+
+void Forwarder::removeQueued(Exchange &exchange, std::size_t index, Instant now)
+{
+    Part &part = exchange.parts[index];
+    if (std::exchange(part.isQueued, false)) {
+        this->waitingParts[part.group->name].remove({exchange.id, index}, now);
+    }
+}
+
+void Forwarder::extendQueueTimes(const Exchange &exchange)
+{
+    for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
+        const Part &part = exchange.parts[i];
+        if (part.isQueued) {
+            this->waitingParts[part.group->name].setStartBy({exchange.id, i},
+                                                            this->startBy(exchange));
+        }
+    }
+}
+
+void Forwarder::markLate(Exchange &exchange, std::size_t index, const LatePart &late,
+                         GatewayContext &context)
+{
+    Part &part = exchange.parts[index];
+    part.phase = PartPhase::Abandoned;
+    part.isQueued = false;
+    part.isTooLate = true;
+    exchange.recordStep(TraceKind::TooLate, index, {}, context.now);
+    logLatePart(exchange, index, late, context);
+}
+
+void Forwarder::abandonLate(TargetGroup &group, GatewayContext &context)
+{
+    GroupQueue &queue = this->waitingParts[group.name];
+    while (const auto late = queue.takeLate(context.now)) {
+        if (Exchange *exchange = this->find(late->part.exchange)) {
+            this->markLate(*exchange, late->part.part, *late, context);
+            // The exchange ends in an event of its own, because it may be the one that is being
+            // advanced.
+            this->timers.push({context.now, TimerKind::Exchange, exchange->id.value});
+        }
+    }
+}
+
+bool Forwarder::refuseLate(Exchange &exchange, GatewayContext &context)
+{
+    if (!exchange.route->gathers()) {
+        return false;
+    }
+    const WaitingSender sender = senderOf(exchange);
+    std::vector<std::pair<std::size_t, LatePart>> lateParts;
+    for (std::size_t i = 0; i < exchange.parts.size(); ++i) {
+        const auto queue = this->waitingParts.find(exchange.parts[i].group->name);
+        if (queue == this->waitingParts.end() || queue->second.queue().size() == 0) {
+            continue;
+        }
+        if (auto late = queue->second.outlook(sender, this->queueDeadline(exchange), context.now)) {
+            lateParts.emplace_back(i, *late);
+        }
+    }
+    if (lateParts.empty()
+        || exchange.meetsMinimumCoverage(exchange.parts.size() - lateParts.size())) {
+        return false;
+    }
+    for (Part &part : exchange.parts) {
+        part.phase = PartPhase::Abandoned;
+    }
+    for (const auto &[index, late] : lateParts) {
+        this->waitingParts[exchange.parts[index].group->name].countRefused(sender);
+        this->markLate(exchange, index, late, context);
+    }
+    this->fail(exchange, context);
+    return true;
+}
+
+Duration Forwarder::queueRetryDelay(const Exchange &exchange, GatewayContext &context) const
+{
+    Duration delay = forwarding::retryAfterRefusal;
+    for (const Part &part : exchange.parts) {
+        const auto queue = this->waitingParts.find(part.group->name);
+        if ((part.isTooLate || part.queueTimePassed) && queue != this->waitingParts.end()) {
+            delay = std::max(delay, queue->second.retryDelay(context.now, context.random));
+        }
+    }
+    return delay;
+}
+
+std::map<std::uint32_t, std::size_t> Forwarder::waitingByRank() const
+{
+    std::map<std::uint32_t, std::size_t> waiting;
+    for (const auto &[group, queue] : this->waitingParts) {
+        for (const auto &[rank, count] : queue.queue().sizes()) {
+            waiting[rank] += count;
+        }
+    }
+    return waiting;
+}
+
+std::uint64_t Forwarder::sentByGuarantee() const
+{
+    std::uint64_t count = 0;
+    for (const auto &[group, queue] : this->waitingParts) {
+        count += queue.queue().servedByGuarantee();
+    }
+    return count;
+}
+
 void Forwarder::sendWaitingParts(TargetGroup &group, GatewayContext &context)
 {
     const auto found = this->waitingParts.find(group.name);
     if (found == this->waitingParts.end()) {
         return;
     }
-    std::deque<WaitingPart> &queue = found->second;
-    while (!queue.empty()) {
-        const WaitingPart next = queue.front();
+    GroupQueue &queue = found->second;
+    while (const FairQueue::Entry *entry = queue.next()) {
+        const WaitingPart next = entry->part;
         Exchange *exchange = this->find(next.exchange);
-        if (exchange == nullptr || exchange->parts[next.part].phase != PartPhase::Waiting
+        if (exchange == nullptr) {
+            queue.remove(next, context.now);
+            continue;
+        }
+        if (exchange->parts[next.part].phase != PartPhase::Waiting
             || exchange->parts[next.part].loanDeadline > context.now) {
-            queue.pop_front();
+            this->removeQueued(*exchange, next.part, context.now);
             continue;
         }
         if (this->dropUnpermitted(*exchange, context)) {
-            queue.pop_front();
             continue;
         }
         if (context.now >= this->latestStart(*exchange)) {
             // The exchange's own timer ends it.
-            queue.pop_front();
+            this->removeQueued(*exchange, next.part, context.now);
             continue;
         }
         Part &part = exchange->parts[next.part];
         const TargetChoice choice = this->targets.choose(group, termsFor(*exchange, part, false),
                                                          context.now, context.random);
         if (choice.target == nullptr) {
-            return;
+            break;
         }
-        queue.pop_front();
+        queue.takeNext(context.now);
+        part.isQueued = false;
         this->sendTo(*exchange, next.part, *choice.target,
                      part.arrivedAttempts > 0 ? TraceKind::Retry : TraceKind::Send, context);
         this->advance(next.exchange, context);
     }
+    this->abandonLate(group, context);
 }
 
 } // namespace lagoondeck
--- a/logic/gateway/forwarder_stopping.cpp
+++ b/logic/gateway/forwarder_stopping.cpp
@@ -48,7 +48,7 @@
     } else {
         this->refuseStopping(exchange, context);
     }
-    this->erase(exchange);
+    this->erase(exchange, context.now);
 }
 
 void Forwarder::refuse(const AdmittedRequest &request, EndReason reason, Duration retryAfter,
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -516,6 +516,8 @@
     status.coordinated = this->intake.takenCount();
     status.limitedTargets = this->targets.limits().limitedCount(now);
     status.limitedAttempts = this->targets.limits().counts();
+    status.waitingByRank = this->forwarder.waitingByRank();
+    status.sentByGuarantee = this->forwarder.sentByGuarantee();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
     if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -21,6 +21,8 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -53,6 +55,9 @@
     /// How many targets limit the requests that they take.
     std::size_t limitedTargets = 0;
     LimitCounts limitedAttempts;
+    /// How many parts wait for a target, by the urgency rank of their requests.
+    std::map<std::uint32_t, std::size_t> waitingByRank;
+    std::uint64_t sentByGuarantee = 0;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
--- a/logic/gateway/gateway_events.h
+++ b/logic/gateway/gateway_events.h
@@ -28,6 +28,8 @@
     /// True if the request is the first one of its connection, so that its caller has also waited
     /// for the connection setup.
     bool isNewConnection = false;
+    /// The peer address of the connection without its port; empty if it is unknown.
+    std::string host;
 };
 
 /// A caller's request was read completely.
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -116,6 +116,10 @@
         return "the targets limit their requests, and nothing was left for it: "
                 + describeMissingParts(line);
     }
+    if (reason == "queue-too-long") {
+        return "more requests waited for the targets than they could serve in time, and it was "
+               "one of the last by the turns of accounts and callers (events 720, 721)";
+    }
     if (reason == "target-failed") {
         return "its target ran it and failed, and the failure was forwarded to the caller";
     }
