--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -130,6 +130,10 @@
          "Targets of a lost failure domain answer again."},
         {LogEvent::TargetCold, "TargetCold", LogSeverity::Info,
          "A target is cold; its requests are limited until it is warm."},
+        {LogEvent::WaitTooLong, "WaitTooLong", LogSeverity::Info,
+         "A waiting part was given up because the parts ahead of it take longer than it may wait."},
+        {LogEvent::WaitQueueFull, "WaitQueueFull", LogSeverity::Warning,
+         "A waiting part was given up because too many parts wait for its group."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -73,6 +73,8 @@
     DomainLost = 712,
     DomainReturned = 713,
     TargetCold = 714,
+    WaitTooLong = 720,
+    WaitQueueFull = 721,
 };
 
 /// The documentation of a log event.
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -581,6 +581,8 @@
     status.coldTargets = this->targets.limits().coldCount(now);
     status.lostDomains = this->targets.lostDomainCount();
     status.placement = this->targets.placementCounts();
+    status.waitingByRank = this->forwarder.waitingByRank();
+    status.sentByGuarantee = this->forwarder.sentByGuarantee();
     status.isCoordinator = this->coordinatorRanking.includesSelf;
     status.path = this->path.state();
     if (const Instant repliedAt = this->path.lastReplyAt(); repliedAt != Instant::min()) {
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -23,6 +23,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -63,6 +64,9 @@
     /// How many targets are limited because they are cold.
     std::size_t coldTargets = 0;
     PlacementCounts placement;
+    /// How many parts wait for a target, by the urgency rank of their requests.
+    std::map<std::uint32_t, std::size_t> waitingByRank;
+    std::uint64_t sentByGuarantee = 0;
 };
 
 /// Makes all decisions of an entry instance that forwards HTTP requests by routes.
--- a/operator/explain.cpp
+++ b/operator/explain.cpp
@@ -130,6 +130,10 @@
                         + " answered, and the instance's own allowance was used up"
                 : "the account " + account + " has used what it may use in the whole fleet";
     }
+    if (reason == "queue-too-long") {
+        return "more requests waited for the targets than they could serve in time, and it was "
+               "one of the last by the turns of accounts and callers (events 720, 721)";
+    }
     if (reason == "target-failed") {
         return "its target ran it and failed, and the failure was forwarded to the caller";
     }
