--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 #include <variant>
+#include <xxhash.h>
 
 namespace lagoondeck {
 
