--- a/logic/accounts/account_bucket.cpp
+++ b/logic/accounts/account_bucket.cpp
@@ -11,6 +11,9 @@
 /// are evenly spaced at their callers reach a holder up to 50 ms closer together.
 constexpr double extraTokens = 1.0;
 constexpr double spacingTolerance = 0.05;
+/// The part of the burst that is regained within a window. The rest is a margin for holders that
+/// see different requests.
+constexpr double regainedBurst = 0.8;
 /// Refused requests get times of return within this time, or the time of one request if that is
 /// longer. Callers don't wait much longer than a few seconds.
 constexpr Duration returnHorizon = std::chrono::seconds(5);
@@ -25,6 +28,12 @@
 
 } // namespace
 
+double AccountBucket::refillRate(const ClientAccount &account)
+{
+    return account.requestsPerSecond
+            + regainedBurst * account.burst / std::chrono::duration<double>(capWindow).count();
+}
+
 double AccountBucket::capacityOf(const ClientAccount &account)
 {
     return account.burst + toleranceOf(account);
@@ -38,10 +47,10 @@
 AccountTokens AccountBucket::take(const ClientAccount &account, const AccountWish &wish,
                                   Instant now)
 {
-    const double rate = account.requestsPerSecond;
+    const double rate = refillRate(account);
     const double capacity = capacityOf(account);
     this->bucket.refill(rate, capacity, now);
-    this->settle(wish.returned, wish.charged);
+    this->settle(wish.returned, wish.charged, now);
     double tokens = this->bucket.refill(rate, capacity, now);
     // More than this is only owed after a pause or a wrong message, and would close the account.
     if (const double minTokens = -toleranceOf(account); tokens < minTokens) {
@@ -50,9 +59,14 @@
     }
     AccountTokens result;
     result.account = account.name;
+    const double windowLimit = account.requestsPerSecond
+                    * std::chrono::duration<double>(capWindow).count()
+            + capacity;
+    tokens = std::min(tokens, windowLimit - this->granted.count(now));
     result.granted = static_cast<std::uint32_t>(
             std::clamp(std::floor(tokens), 0.0, static_cast<double>(wish.count)));
     this->bucket.add(-static_cast<double>(result.granted));
+    this->granted.add(result.granted, now);
     if (result.granted < wish.count) {
         result.retryInterval = timeOf(1.0, rate);
         result.retryAfter = this->reserveReturns(account, tokens - result.granted,
@@ -65,8 +79,9 @@
 Instant AccountBucket::reserveReturns(const ClientAccount &account, double tokens,
                                       std::uint32_t count, Instant now)
 {
-    const Duration interval = timeOf(1.0, account.requestsPerSecond);
-    const Instant availableAt = now + timeOf(1.0 - tokens, account.requestsPerSecond);
+    const double rate = refillRate(account);
+    const Duration interval = timeOf(1.0, rate);
+    const Instant availableAt = now + timeOf(1.0 - tokens, rate);
     Instant first = std::max(this->nextReturnAt, availableAt);
     if (first - availableAt > std::max(returnHorizon, interval)) {
         first = availableAt;
