Tell in the log by which configuration a key was refused

The line of a request that was refused for want of a key told neither its route nor the configuration, so that explain showed configuration 0. It now carries both.

--- a/logic/gateway/exchange_log.cpp
+++ b/logic/gateway/exchange_log.cpp
@@ -81,6 +81,18 @@
     context.log(eventOf(end), std::move(fields));
 }
 
+void logUnidentified(const ForwardedRequest &request, const ExchangeEnd &end,
+                     std::uint64_t configVersion, GatewayContext &context)
+{
+    context.log(eventOf(end),
+                {{"request", request.requestId},
+                 {"outcome", toString(end.outcome)},
+                 {"reason", toString(end.reason)},
+                 {"route", end.route},
+                 numberField("configVersion", static_cast<std::int64_t>(configVersion)),
+                 {"host", request.host}});
+}
+
 void logDelegatedEnd(const AdmittedRequest &request, const ExchangeEnd &end,
                      const InstanceId &coordinator, std::uint64_t sampleOneIn,
                      GatewayContext &context)
--- a/logic/gateway/exchange_log.h
+++ b/logic/gateway/exchange_log.h
@@ -19,6 +19,10 @@
 void logExchangeEnd(const ForwardedRequest &request, const ExchangeEnd &end,
                     const Exchange *exchange, std::uint64_t sampleOneIn, GatewayContext &context);
 
+/// Logs a request that has no key of a client account, with the configuration that was asked.
+void logUnidentified(const ForwardedRequest &request, const ExchangeEnd &end,
+                     std::uint64_t configVersion, GatewayContext &context);
+
 /// Logs the end of a request that a coordinator served.
 void logDelegatedEnd(const AdmittedRequest &request, const ExchangeEnd &end,
                      const InstanceId &coordinator, std::uint64_t sampleOneIn,
--- a/logic/gateway/forwarder.cpp
+++ b/logic/gateway/forwarder.cpp
@@ -80,7 +80,7 @@
         reply.status = statusUnauthorized;
         reply.detail = "not run: the request has no key of a client account";
         ExchangeEnd end {route->name, ExchangeOutcome::Refused, EndReason::UnknownKey};
-        logExchangeEnd(*event.request, end, nullptr, this->sampleOneIn, context);
+        logUnidentified(*event.request, end, routes.config()->version, context);
         context.emit(AnswerExchange {event.exchange, std::move(reply), std::move(end)});
         return std::nullopt;
     }
--- a/tests/logic/gateway/test_accounts.cpp
+++ b/tests/logic/gateway/test_accounts.cpp
@@ -176,6 +176,7 @@
             CHECK(harness.answerOf(id)->status == 401);
             CHECK(harness.answerOf(id)->retryAfter == Duration(0));
             CHECK(lastLogField(harness, "reason") == "unknown-key");
+            CHECK(lastLogField(harness, "configVersion") == "5");
             CHECK(lastLogField(harness, "account").empty());
         }
     }
