--- a/tests/logic/placement/test_evacuation.cpp
+++ b/tests/logic/placement/test_evacuation.cpp
@@ -205,6 +205,38 @@
     CHECK(harness.started.size() == 1);
 }
 
+TEST_CASE("evacuation: a request that waits for a loan is not sent to the domain when it arrives")
+{
+    RoutingConfig config = configOf({plainRoute("/p/", "g", true)});
+    config.coldLimits[GroupName("g")] = {std::chrono::seconds(60), 1.0};
+    TargetRecord cold = targetIn("x", "tx");
+    cold.warmupLeft = std::chrono::seconds(60);
+    GatewayHarness harness(config, {cold});
+    harness.answerWatch({GatewayHarness::memberChange("a", "127.0.0.1:7000"),
+                         GatewayHarness::memberChange("b", member)});
+    // Once the instance's share is used up, requests wait for a loan.
+    std::vector<ExchangeId> ids;
+    for (int i = 0; i < 5; ++i) {
+        ids.push_back(harness.sendRequest("/p/" + std::to_string(i)));
+    }
+    REQUIRE_FALSE(harness.limitRequests.empty());
+    REQUIRE_FALSE(harness.answerOf(ids.back()));
+    const std::size_t before = harness.started.size();
+    StoreUpdate update;
+    update.fromRevision = harness.revision;
+    update.toRevision = harness.revision + 1;
+    update.changes = {evacuation("x")};
+    update.changes[0].revision = update.toRevision;
+    harness.apply(StoreUpdateReceived {member, update});
+    REQUIRE(harness.answerOf(ids.back()));
+    CHECK(harness.answerOf(ids.back())->status == 503);
+    CHECK(harness.answerOf(ids.back())->detail.starts_with("not run"));
+    harness.apply(LimitLent {
+            harness.limitRequests.back().number, {{TargetId("tx"), 3}}, milliseconds(500)});
+    harness.advance(milliseconds(100));
+    CHECK(harness.started.size() == before);
+}
+
 TEST_CASE("evacuation: a member's delegated request is served in another domain")
 {
     GatewayHarness harness = gatewayWithTwoDomains();
