--- a/logic/workload/fair_queue.cpp
+++ b/logic/workload/fair_queue.cpp
@@ -1,7 +1,6 @@
 #include "logic/workload/fair_queue.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lagoondeck {
 
--- a/tests/drivers_edge/test_http_listener.cpp
+++ b/tests/drivers_edge/test_http_listener.cpp
@@ -6,6 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+#include <vector>
+
 using namespace lagoondeck;
 using namespace lagoondeck::edgetest;
 
@@ -47,3 +50,29 @@
     CHECK(listener.stopUnlessWaiting());
     CHECK_FALSE(RawCaller(address).isConnected());
 }
+
+// Guards against the connections of one caller that count as different callers because their ports
+// differ.
+TEST_CASE("a connection knows its caller's address without the port")
+{
+    const std::string address = freeAddresses(1).front();
+    EdgeLoop loop;
+    std::vector<std::string> hosts;
+    ServerConnection::Hooks hooks = answeringHooks();
+    const auto answer = hooks.onRequest;
+    hooks.onRequest = [&](ServerConnection &connection, const HttpMessage &message) {
+        hosts.push_back(connection.peerHost());
+        answer(connection, message);
+    };
+    HttpListener listener(
+            loop, [] { return CallerLimits {}; }, hooks);
+    REQUIRE(listener.listen(address));
+    RawCaller first(address);
+    RawCaller second(address);
+    REQUIRE(first.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"));
+    REQUIRE(second.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"));
+    for (int i = 0; i < 100 && hosts.size() < 2; ++i) {
+        loop.poll(std::chrono::milliseconds(10));
+    }
+    CHECK(hosts == std::vector<std::string> {"127.0.0.1", "127.0.0.1"});
+}
