--- a/logic/accounts/account_bucket.cpp
+++ b/logic/accounts/account_bucket.cpp
@@ -59,9 +59,8 @@
     }
     AccountTokens result;
     result.account = account.name;
-    const double windowLimit = account.requestsPerSecond
-                    * std::chrono::duration<double>(capWindow).count()
-            + capacity;
+    const double windowLimit =
+            account.requestsPerSecond * std::chrono::duration<double>(capWindow).count() + capacity;
     tokens = std::min(tokens, windowLimit - this->granted.count(now));
     result.granted = static_cast<std::uint32_t>(
             std::clamp(std::floor(tokens), 0.0, static_cast<double>(wish.count)));
--- a/logic/gateway/gateway.cpp
+++ b/logic/gateway/gateway.cpp
@@ -35,8 +35,9 @@
     std::vector<GatewayEffect> effects;
     GatewayContext context {now, effects, this->random, this->ids};
     std::visit([&](const auto &body) { this->on(body, context); }, event);
-    this->configConfirmation.update(this->storeSync.isReady() ? this->storeSync.configVersion() : 0,
-                                    this->learnedState.hasReplies(), context);
+    this->configConfirmation.update(
+            this->storeSync.isReady() ? this->storeSync.configVersion() : 0,
+            this->learnedState.hasReplies() || this->storeSync.hasReadOriginalStore(), context);
     this->applyPathChange(context);
     this->passOnRequests(context);
     this->accountCaps.sendAsks(context);
--- a/logic/gateway/store_sync.cpp
+++ b/logic/gateway/store_sync.cpp
@@ -226,6 +226,7 @@
         return;
     }
     this->position = read.begin;
+    this->hasReadStore = true;
     this->removeUnlisted(read.listedKeys, context);
     this->finishFullRead(context);
 }
--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -73,6 +73,9 @@
     const StoreHealth &storeHealth() const { return this->health; }
     /// Returns the quarantines that were read from the store since the last call.
     std::vector<QuarantineRecord> takeQuarantines() { return std::exchange(this->quarantines, {}); }
+    /// Returns true if this instance has read the store itself, and the store was never restored
+    /// from a copy, so that its configuration is the newest one.
+    bool hasReadOriginalStore() const { return this->hasReadStore && this->knownHistory <= 1; }
     /// Returns when the known state was last confirmed by the store or by a member that had read
     /// the store.
     Instant lastConfirmedAt() const { return this->confirmedAt; }
@@ -187,6 +190,7 @@
     Instant nextCallAt {};
     std::optional<FullRead> fullRead = FullRead();
     bool targetsKnown = false;
+    bool hasReadStore = false;
     /// The newest history of the store that this instance has heard of.
     std::uint64_t knownHistory = 0;
     /// The position up to which all changes are known.
