--- a/core/store_change.h
+++ b/core/store_change.h
@@ -41,7 +41,7 @@
     Member,
     Quarantine,
     Evacuation, ///< Nothing may be sent to the targets of a failure domain while the key exists.
-    Other, ///< A key of another user of the store.
+    Other,      ///< A key of another user of the store.
 };
 
 /// The decoded value of a key; std::monostate when the key was removed or its value can't be read.
--- a/tests/logic/gateway/test_config_confirmation.cpp
+++ b/tests/logic/gateway/test_config_confirmation.cpp
@@ -199,6 +199,30 @@
     CHECK(statusWith(harness, oldKey) == 200);
 }
 
+// Guards against a member without accounts whose requests are admitted here by a removed key.
+TEST_CASE("confirmation: no request of a member is admitted before the configuration is confirmed")
+{
+    GatewayHarness harness(restartedSettings());
+    readOldCopy(harness);
+    ForwardedRequest request;
+    request.method = "GET";
+    request.host = "h";
+    request.path = "/p/x";
+    request.requestId = "r";
+    request.accountKey = oldKey;
+    DelegatedRequest query;
+    query.number = 1;
+    query.request = std::make_shared<const ForwardedRequest>(request);
+    query.sentAt = harness.now;
+    query.objectiveLeft = milliseconds(100);
+    query.timeLeft = milliseconds(900);
+    query.minConfigVersion = 4;
+    harness.apply(RequestDelegated {InstanceId("b"), member, query});
+    CHECK(harness.started.empty());
+    REQUIRE(harness.receipts.size() == 1);
+    CHECK(harness.receipts[0].receipt.state == DelegationState::Outdated);
+}
+
 TEST_CASE("confirmation: an instance tells the version that it has in force")
 {
     GatewayHarness harness(config(7), {target("t", "g")});
