--- a/tests/drivers_edge/test_caller_keys.cpp
+++ b/tests/drivers_edge/test_caller_keys.cpp
@@ -82,6 +82,14 @@
     }
 }
 
+TEST_CASE("a key in a trailer counts as one in the header")
+{
+    const std::string field = "Authorization: Bearer " + key + "\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+    CHECK(readBytes(begin + chunks + field + "\r\n").accountKey == key);
+    CHECK(readBytes(begin + field + chunks + field + "\r\n").accountKey.empty());
+}
+
 TEST_CASE("a target gets the name of the account that the key belongs to")
 {
     const std::string sent = targetBytes(
