--- a/logic/workload/turn_order.h
+++ b/logic/workload/turn_order.h
@@ -167,8 +167,8 @@
 
     /// How many missed turns a member may use later. Simulated callers that send at random times
     /// lost 10% of their requests at 80% of their share without any, 2.3% with 4 and 0.5% with 8.
-    /// But at 90% of the capacity the order loses 0.5% of all with up to 4, 0.9% with 8
-    /// (tests/logic/workload/test_load_patterns.cpp).
+    /// At 90% of the capacity 99.0% of all are served without any, 98.5% with 4 and 98.2% with 8
+    /// (mean of five seeds; tests/logic/workload/test_load_patterns.cpp).
     static constexpr std::uint64_t maxSavedTurns = 4;
 
     std::size_t maxIdle;
