--- a/tests/logic/accounts/test_account_caps.cpp
+++ b/tests/logic/accounts/test_account_caps.cpp
@@ -293,6 +293,60 @@
     CHECK(fleet.served.size() + fleet.retries.size() == 1);
 }
 
+TEST_CASE("an instance that has just restarted does not take itself for the whole fleet")
+{
+    for (const bool isFirstStart : {false, true}) {
+        std::vector<GatewayEffect> effects;
+        RandomEngine random;
+        IdSource ids;
+        GatewayContext context {start, effects, random, ids};
+        AccountCaps caps(InstanceId("i0"), isFirstStart);
+        caps.start(start);
+        caps.setMembers(membersIn(1, 1), start);
+        const ClientAccount account = capped(1.0, 9.0);
+        const Route route;
+        for (std::uint64_t i = 1; i <= 10; ++i) {
+            AdmittedRequest request;
+            request.id = ExchangeId(i);
+            request.request = std::make_shared<const ForwardedRequest>();
+            request.route = &route;
+            request.account = &account;
+            request.deadlineAt = start + seconds(1);
+            caps.submit(std::move(request), context);
+        }
+        context.now += milliseconds(25);
+        caps.onTimer(context);
+        CHECK(caps.size() == 0);
+        CHECK(caps.takeAdmitted().size() == (isFirstStart ? 10 : 0));
+    }
+}
+
+TEST_CASE("the number of accounts that are counted by name is limited")
+{
+    std::vector<GatewayEffect> effects;
+    RandomEngine random;
+    IdSource ids;
+    GatewayContext context {start, effects, random, ids};
+    AccountCaps caps(InstanceId("i0"), true);
+    caps.start(start);
+    caps.setMembers(membersIn(1, 1), start);
+    std::vector<ClientAccount> accounts(100, capped(4.0, 4.0));
+    const Route route;
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+        accounts[i].name = "account" + std::to_string(i);
+        AdmittedRequest request;
+        request.id = ExchangeId(i + 1);
+        request.request = std::make_shared<const ForwardedRequest>();
+        request.route = &route;
+        request.account = &accounts[i];
+        request.deadlineAt = start + seconds(1);
+        caps.submit(std::move(request), context);
+    }
+    CHECK(caps.takeAdmitted().size() == 100);
+    CHECK(caps.usage().size() == 65);
+    CHECK(caps.usage().at("other").granted == 36);
+}
+
 TEST_CASE("the requests of one event are asked in one message to each holder")
 {
     std::vector<GatewayEffect> effects;
