--- a/logic/gateway/forwarder_sending.cpp
+++ b/logic/gateway/forwarder_sending.cpp
@@ -33,8 +33,18 @@
 /// refused then, another instance can still serve it in time.
 constexpr int maxQueueTimeDivisor = 5;
 
+/// Returns true if waiting parts take turns and late ones are refused early. A deployment without
+/// client accounts is served first come, first served.
+bool takesTurns(const Exchange &exchange)
+{
+    return exchange.config != nullptr && !exchange.config->accounts.empty();
+}
+
 WaitingSender senderOf(const Exchange &exchange)
 {
+    if (!takesTurns(exchange)) {
+        return {};
+    }
     return {exchange.urgencyRank, exchange.account == nullptr ? "" : exchange.account->name,
             exchange.caller};
 }
@@ -344,6 +354,11 @@
     GroupQueue &queue = this->waitingParts[part.group->name];
     const WaitingSender sender = senderOf(exchange);
     const Instant startBy = this->startBy(exchange);
+    queue.setGivesUpLate(takesTurns(exchange));
+    if (!takesTurns(exchange)) {
+        queue.add({exchange.id, index}, sender, startBy, context.now);
+        return;
+    }
     if (const auto late = queue.outlook(sender, startBy, context.now)) {
         queue.countRefused(sender);
         this->markLate(exchange, index, *late, context);
@@ -398,7 +413,7 @@
 
 bool Forwarder::refuseLate(Exchange &exchange, GatewayContext &context)
 {
-    if (!exchange.route->gathers()) {
+    if (!exchange.route->gathers() || !takesTurns(exchange)) {
         return false;
     }
     const WaitingSender sender = senderOf(exchange);
--- a/logic/workload/group_queue.cpp
+++ b/logic/workload/group_queue.cpp
@@ -87,6 +87,9 @@
     const std::size_t ahead = this->parts.size() - 1;
     const Duration timeLeft = last->startBy - now;
     const bool isFull = this->parts.size() > maxWaiting;
+    if (!isFull && !this->givesUpLate) {
+        return std::nullopt;
+    }
     if (!isFull && (this->parts.mayLastPassOthers() || !this->isSurelyLate(ahead, timeLeft, now))) {
         return std::nullopt;
     }
--- a/logic/workload/group_queue.h
+++ b/logic/workload/group_queue.h
@@ -34,6 +34,8 @@
     /// targets.
     void onCompleted(std::size_t targetCount, Instant now);
 
+    /// Sets whether parts are given up because they can't be sent in time.
+    void setGivesUpLate(bool value) { this->givesUpLate = value; }
     /// Removes and returns the last part if it can't be sent in time, or if too many parts wait.
     std::optional<LatePart> takeLate(Instant now);
     /// Returns why a new part of the sender could not be sent until `startBy`, or nothing if it may
@@ -55,6 +57,7 @@
     FairQueue parts;
     CompletionRate completions;
     std::size_t knownTargets = 0;
+    bool givesUpLate = true;
 };
 
 } // namespace lagoondeck
