--- a/tests/drivers_edge/test_target_links.cpp
+++ b/tests/drivers_edge/test_target_links.cpp
@@ -1,11 +1,11 @@
 #include "core/os/clock.h"
 #include "drivers/edge/target_links.h"
+#include "tests/support/endless_target.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -209,74 +209,6 @@
     CHECK(connection.receiveBytes(&byte, 1) == 0);
 }
 
-namespace {
-
-/// A target that sends bytes without end on each connection until the other side closes it.
-class EndlessTarget
-{
-public:
-    /// Sends the head and then the body again and again.
-    EndlessTarget(std::string head, const std::string &body)
-        : listener(Poco::Net::SocketAddress("127.0.0.1", 0)), head(std::move(head)),
-          body(repeat(body, 64 * 1024)), thread([this] { this->serve(); })
-    { }
-
-    ~EndlessTarget()
-    {
-        this->stopping = true;
-        this->thread.join();
-    }
-
-    std::string address() const { return this->listener.address().toString(); }
-    std::uint64_t bytesSent() const { return this->sent; }
-    bool wasClosed() const { return this->closed; }
-
-private:
-    static std::string repeat(const std::string &text, std::size_t bytes)
-    {
-        std::string all;
-        while (all.size() < bytes) {
-            all += text;
-        }
-        return all;
-    }
-
-    void serve()
-    {
-        while (!this->stopping
-               && !this->listener.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
-        }
-        if (this->stopping) {
-            return;
-        }
-        Poco::Net::StreamSocket connection = this->listener.acceptConnection();
-        connection.setSendTimeout(Poco::Timespan(0, 50'000));
-        std::string next = this->head;
-        while (!this->stopping) {
-            try {
-                const int count = connection.sendBytes(next.data(), static_cast<int>(next.size()));
-                this->sent += static_cast<std::uint64_t>(std::max(count, 0));
-                next = this->body;
-            } catch (const Poco::TimeoutException &) {
-                // The receiver reads no more for the moment.
-            } catch (const Poco::Exception &) {
-                this->closed = true;
-                return;
-            }
-        }
-    }
-
-    Poco::Net::ServerSocket listener;
-    std::string head;
-    std::string body;
-    std::atomic<bool> stopping = false;
-    std::atomic<bool> closed = false;
-    std::atomic<std::uint64_t> sent = 0;
-    std::thread thread;
-};
-
-} // namespace
-
 // Guards against a target whose bytes never end: the event loop must serve the other connections
 // meanwhile, and the buffered bytes must be limited.
 TEST_CASE("bytes without end neither block the event loop nor fill the memory")
--- a/tests/main/test_daemon_signals.cpp
+++ b/tests/main/test_daemon_signals.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/daemon_process.h"
 #include "tests/support/free_addresses.h"
+#include "tests/support/temporary_folder.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,22 +19,6 @@
 
 namespace {
 
-/// A folder that is removed at the end.
-class TemporaryFolder
-{
-public:
-    TemporaryFolder()
-    {
-        std::string pattern =
-                (std::filesystem::temp_directory_path() / "lagoondeck-XXXXXX").string();
-        REQUIRE(mkdtemp(pattern.data()) != nullptr);
-        this->path = pattern;
-    }
-    ~TemporaryFolder() { std::filesystem::remove_all(this->path); }
-
-    std::filesystem::path path;
-};
-
 /// Returns the settings of a gateway that reaches no store.
 std::string settings()
 {
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -26,6 +26,7 @@
     DaemonProcess(const DaemonProcess &) = delete;
     DaemonProcess &operator=(const DaemonProcess &) = delete;
 
+    pid_t id() const { return this->pid; }
     void signal(int number) const;
     /// Returns how the process ended, or nothing while it runs.
     std::optional<ProcessEnd> poll();
