Bound what callers' and targets' messages and connections may hold

Trailers, chunk extensions, header fields in pieces and interim replies had no limit, and nothing bounded what all connections hold together.

- HttpReader limits the request line, the whole header (Beast's limit applies to one call only), the number of fields, chunk extensions, trailers and interim replies; it never calls the parser with fewer than the 5 bytes that it asserts at the end of a chunked body, and exists only while a message is read;
- each connection counts what it holds; above the share of the memory HttpListener closes those that ConnectionEviction chooses.
An incomplete request gets 503, all others are closed without an answer;
- above the share of the descriptors idle and slow connections make room, or new ones are closed; without a free descriptor the listener pauses until the next check of the timeouts instead of spinning;
- among targets' replies the largest is given up, not the one whose bytes came last;
- a request whose caller is gone before the reducer has seen it is forgotten at once; buffers shrink, and the heap returns large blocks;

New settings memoryMegabytes, maxDescriptors, maxRequestLineBytes, maxHeaderFields, maxChunkOverheadBytes and maxInterimReplies; log events 730 to 733; metrics.

--- a/core/gateway_settings.h
+++ b/core/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/message_limits.h"
 #include "core/retry_allowance.h"
 #include "core/time.h"
 
@@ -45,6 +46,13 @@
     double processorSpeed = 1.0;
     /// The bandwidth of this instance's network link in Mbit/s. 0 if unknown.
     double linkMbps = 0.0;
+    /// The memory of the machine in MB, from which the bounds on what connections hold are derived.
+    /// 0 if unknown.
+    std::uint64_t memoryMegabytes = 0;
+    /// How many descriptors the process may have open. 0 if unknown.
+    std::uint64_t maxDescriptors = 0;
+    /// Limits on callers' requests; `interimReplies` is one on targets' replies.
+    MessageLimits message;
     /// Whether the whole fleet starts for the first time, so that no retry budget has been spent
     /// yet.
     bool firstStart = false;
--- a/core/gateway_settings_file.cpp
+++ b/core/gateway_settings_file.cpp
@@ -24,6 +24,14 @@
 constexpr double maxProcessors = 1024.0;
 constexpr double minProcessorSpeed = 0.001;
 constexpr double maxLinkMbps = 1e6;
+/// With less memory, the process has none left for connections.
+constexpr std::uint64_t minMemoryMegabytes = 64;
+constexpr std::uint64_t maxMemoryMegabytes = 1024 * 1024;
+/// Files take 200 descriptors, and the connections to targets and members a quarter.
+constexpr std::uint64_t minDescriptors = 320;
+constexpr std::uint64_t maxDescriptors = 1024 * 1024;
+constexpr std::uint64_t maxMessageLimit = 1024 * 1024 * 1024;
+constexpr std::uint64_t maxInterimReplies = 1'000'000;
 constexpr Duration maxRetryWindow = std::chrono::hours(1);
 constexpr Duration minTimeBound = std::chrono::milliseconds(500);
 constexpr Duration maxTimeBound = std::chrono::minutes(5);
@@ -39,6 +47,31 @@
     }
 }
 
+/// Reads a number that is either in the range or, if it is unknown, 0.
+void readUnlessUnknown(FieldReader &reader, const char *name, std::uint64_t &value,
+                       std::uint64_t lowest, std::uint64_t highest)
+{
+    reader.read(name, value, 0, highest);
+    if (value != 0 && value < lowest) {
+        reader.addProblem(name, FieldProblemKind::OutOfRange,
+                          "expected 0 or a number from " + std::to_string(lowest) + " to "
+                                  + std::to_string(highest));
+    }
+}
+
+void readMessageLimits(FieldReader &reader, MessageLimits &limits)
+{
+    const auto read = [&](const char *name, std::size_t &limit, std::uint64_t highest) {
+        std::uint64_t value = limit;
+        reader.read(name, value, 0, highest);
+        limit = value;
+    };
+    read("maxRequestLineBytes", limits.requestLineBytes, maxMessageLimit);
+    read("maxHeaderFields", limits.headerFields, maxMessageLimit);
+    read("maxChunkOverheadBytes", limits.chunkOverheadBytes, maxMessageLimit);
+    read("maxInterimReplies", limits.interimReplies, maxInterimReplies);
+}
+
 void readSeeds(FieldReader &reader, std::vector<std::string> &seeds)
 {
     const nlohmann::json *list = reader.find("seeds");
@@ -123,6 +156,11 @@
         reader.read("processorShare", settings.processorShare, 0.0, maxProcessors);
         reader.read("processorSpeed", settings.processorSpeed, minProcessorSpeed, maxProcessors);
         reader.read("linkMbps", settings.linkMbps, 0.0, maxLinkMbps);
+        readUnlessUnknown(reader, "memoryMegabytes", settings.memoryMegabytes, minMemoryMegabytes,
+                          maxMemoryMegabytes);
+        readUnlessUnknown(reader, "maxDescriptors", settings.maxDescriptors, minDescriptors,
+                          maxDescriptors);
+        readMessageLimits(reader, settings.message);
         reader.read("firstStart", settings.firstStart);
         reader.read("seed", settings.seed, 0, std::numeric_limits<std::uint64_t>::max());
         reader.rejectUnknownFields();
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -29,6 +29,14 @@
     bool keepsConnection = true;
 };
 
+/// Returns true if a final reply may have this status.
+constexpr bool isFinalStatus(int status)
+{
+    constexpr int first = 200;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 /// Compares two header names, which are case-insensitive.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -109,6 +109,14 @@
          "why."},
         {LogEvent::LogLinesDropped, "LogLinesDropped", LogSeverity::Warning,
          "Log lines were dropped because there were too many or the log was not read."},
+        {LogEvent::CallersEvicted, "CallersEvicted", LogSeverity::Warning,
+         "Callers' connections were closed because all together held too many bytes."},
+        {LogEvent::CallersReplaced, "CallersReplaced", LogSeverity::Warning,
+         "Callers' connections were closed because there were too many."},
+        {LogEvent::AcceptFailed, "AcceptFailed", LogSeverity::Error,
+         "Connections could not be accepted because no descriptor was free."},
+        {LogEvent::RepliesEvicted, "RepliesEvicted", LogSeverity::Warning,
+         "Targets' replies were given up because all together held too many bytes."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -63,6 +63,10 @@
     RequestServed = 600,
     RequestTroubled = 601,
     LogLinesDropped = 610,
+    CallersEvicted = 730,
+    CallersReplaced = 731,
+    AcceptFailed = 732,
+    RepliesEvicted = 733,
 };
 
 /// The documentation of a log event.
--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -2,6 +2,7 @@
 
 #include "core/client_account.h"
 #include "core/ids.h"
+#include "core/message_limits.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -67,6 +68,8 @@
     Duration headerTimeout = std::chrono::seconds(3);
     /// The maximum time that a connection stays open without a request.
     Duration idleTimeout = std::chrono::seconds(15);
+    /// Not part of the configuration; the settings of the instance give it.
+    MessageLimits message;
 };
 
 /// What a target bears while it is cold, which it is for some time after its start.
--- a/drivers/edge/byte_budget.h
+++ b/drivers/edge/byte_budget.h
@@ -17,19 +17,28 @@
         Lease &operator=(const Lease &) = delete;
         ~Lease() { this->release(); }
 
-        /// Returns false if the limit is exceeded; the bytes count all the same.
-        bool add(std::size_t bytes)
+        /// Counts further bytes. Returns false if the limit is exceeded; the bytes count all the
+        /// same.
+        bool add(std::size_t bytes) { return this->set(this->held + bytes); }
+
+        /// Counts these bytes in place of the previous ones, like add().
+        bool set(std::size_t bytes)
         {
-            this->held += bytes;
             this->budget.used += bytes;
-            return this->budget.used <= this->budget.limit;
+            this->budget.used -= this->held;
+            this->held = bytes;
+            return this->budget.excess() == 0;
         }
 
+        /// Does not use the budget if nothing is counted, because a closed connection may outlive
+        /// it.
         void release()
         {
-            this->budget.used -= this->held;
-            this->held = 0;
+            if (this->held > 0) {
+                this->set(0);
+            }
         }
+        std::size_t bytes() const { return this->held; }
 
     private:
         ByteBudget &budget;
@@ -38,6 +47,11 @@
 
     explicit ByteBudget(std::size_t limit) : limit(limit) { }
 
+    std::size_t usedBytes() const { return this->used; }
+    std::size_t limitBytes() const { return this->limit; }
+    /// Returns by how many bytes the limit is exceeded.
+    std::size_t excess() const { return this->used > this->limit ? this->used - this->limit : 0; }
+
 private:
     std::size_t limit;
     std::size_t used = 0;
--- a/drivers/edge/byte_stream.cpp
+++ b/drivers/edge/byte_stream.cpp
@@ -1,6 +1,7 @@
 #include "drivers/edge/byte_stream.h"
 
 #include "core/os/socket_output.h"
+#include "drivers/edge/trimmed_buffer.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -119,6 +120,7 @@
             sent += written;
         }
         this->output.erase(0, sent);
+        trimBuffer(this->output);
         this->updateMode();
     } catch (const Poco::Exception &) {
         this->broken = true;
@@ -132,6 +134,17 @@
     if (this->broken) {
         return false;
     }
+    if (this->established && this->output.empty()) {
+        // Only what can't be sent now is kept, so that a long answer is not held twice.
+        try {
+            const std::size_t sent = sendAvailable(this->socket, bytes.data(), bytes.size());
+            this->anyWritten = this->anyWritten || sent > 0;
+            bytes.remove_prefix(sent);
+        } catch (const Poco::Exception &) {
+            this->broken = true;
+            return false;
+        }
+    }
     this->output.append(bytes);
     return !this->established || this->flush();
 }
@@ -165,6 +178,16 @@
     }
 }
 
+std::string ByteStream::peerHost() const
+{
+    try {
+        return this->socket.peerAddress().host().toString();
+    } catch (const Poco::Exception &) {
+        // The connection has ended already.
+        return {};
+    }
+}
+
 bool ByteStream::hasUnreadInput() const
 {
     try {
@@ -216,6 +239,8 @@
         // The socket is not used any more, so the error has no effect.
     }
     this->broken = true;
+    // The object may live on for a while.
+    std::string().swap(this->output);
 }
 
 } // namespace lagoondeck
--- a/drivers/edge/byte_stream.h
+++ b/drivers/edge/byte_stream.h
@@ -57,6 +57,8 @@
     bool hasPendingOutput() const { return !this->output.empty(); }
     /// Returns how many bytes wait to be sent.
     std::size_t pendingOutput() const { return this->output.size(); }
+    /// Returns the peer's IP address; empty if the connection has ended.
+    std::string peerHost() const;
     /// Returns true if the peer sent bytes that were not read yet.
     bool hasUnreadInput() const;
     bool hasFailed() const { return this->broken; }
--- a/drivers/edge/client_link.cpp
+++ b/drivers/edge/client_link.cpp
@@ -1,5 +1,7 @@
 #include "drivers/edge/client_link.h"
 
+#include "drivers/edge/trimmed_buffer.h"
+
 #include <utility>
 
 namespace lagoondeck {
@@ -13,10 +15,11 @@
 } // namespace
 
 ClientLink::ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id,
-                       const Hooks &hooks, ByteBudget &replyBytes, Instant connectDeadline)
+                       const Hooks &hooks, ByteBudget &replyBytes, const MessageLimits &message,
+                       Instant connectDeadline)
     : stream(loop, address), linkId(id), hooks(hooks),
-      reader(HttpReader::Kind::Reply, maxHeaderBytes, maxBodyBytes), replyBytes(replyBytes),
-      connectDeadline(connectDeadline)
+      reader(HttpReader::Kind::Reply, maxHeaderBytes, maxBodyBytes, message),
+      replyBytes(replyBytes), connectDeadline(connectDeadline)
 { }
 
 void ClientLink::start()
@@ -73,10 +76,13 @@
     const std::size_t bufferedBytes = this->input.size();
     const ReadResult result = this->stream.read(this->input);
     if (!this->replyBytes.add(this->input.size() - bufferedBytes)) {
-        this->close(LinkEndKind::Malformed);
-        return;
+        this->hooks.onOverBudget();
+        if (this->closed) {
+            return;
+        }
     }
     this->readReplies();
+    trimBuffer(this->input);
     if (this->closed || result == ReadResult::Open) {
         return;
     }
@@ -153,6 +159,10 @@
     } else {
         this->stream.close();
     }
+    // The object lives on until the handlers have returned.
+    std::string().swap(this->input);
+    this->reader.clear();
+    this->replyBytes.release();
     this->hooks.onEnd(*this, end);
 }
 
--- a/drivers/edge/client_link.h
+++ b/drivers/edge/client_link.h
@@ -35,11 +35,14 @@
         std::function<void(ClientLink &, LinkEndKind)> onEnd;
         /// Called when the connection is established. May be empty.
         std::function<void(ClientLink &)> onConnected;
+        /// Called when the links that share `replyBytes` hold more than they may. Some must be
+        /// closed, be it this one.
+        std::function<void()> onOverBudget;
     };
 
     /// `replyBytes` limits what the links that share it buffer of their replies.
     ClientLink(EdgeLoop &loop, const std::string &address, std::uint64_t id, const Hooks &hooks,
-               ByteBudget &replyBytes, Instant connectDeadline);
+               ByteBudget &replyBytes, const MessageLimits &message, Instant connectDeadline);
 
     std::uint64_t id() const { return this->linkId; }
     /// Returns the encoded request.
@@ -50,6 +53,8 @@
     /// Returns true if a request was sent and its reply has not been read.
     bool isBusy() const { return this->awaitingReply; }
     bool hasEnded() const { return this->closed; }
+    /// Returns how many bytes of an incomplete reply were received.
+    std::size_t heldBytes() const { return this->replyBytes.bytes(); }
     /// Returns true if no byte of the pending request was sent.
     bool isRequestUnsent() const { return this->pendingRequest != nullptr; }
     /// Returns true if the link can send another request.
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -144,6 +144,20 @@
                static_cast<double>(status.attempts));
     writeGauge(writer, "lagoondeck_caller_connections", "Open connections of callers.",
                static_cast<double>(counts.callerConnections));
+    writeGauge(writer, "lagoondeck_caller_held_bytes",
+               "Bytes that connections of callers hold: requests and answers.",
+               static_cast<double>(counts.callerBytes));
+    writer.begin("lagoondeck_caller_connections_closed_total", MetricKind::Counter,
+                 "Connections of callers that were closed to stay within the machine's bounds.");
+    writer.sample({{"reason", "memory"}}, counts.evictions.forMemory);
+    writer.sample({{"reason", "replaced"}}, counts.evictions.replaced);
+    writer.sample({{"reason", "refused"}}, counts.evictions.refused);
+    writeCounter(writer, "lagoondeck_accept_failures_total",
+                 "Times that no connection could be accepted because no descriptor was free.",
+                 counts.evictions.acceptFailures);
+    writeCounter(writer, "lagoondeck_target_replies_evicted_total",
+                 "Replies of targets that were given up because all together held too much.",
+                 counts.repliesEvicted);
     writeCounter(writer, "lagoondeck_store_calls_total", "Calls to the store.", counts.storeCalls);
     writeCounter(writer, "lagoondeck_target_connections_opened_total",
                  "Connections made to targets.", counts.connectionsOpened);
--- a/drivers/edge/gateway_metrics.h
+++ b/drivers/edge/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/duration_histogram.h"
+#include "drivers/edge/eviction_counts.h"
 #include "logic/gateway/exchange_end.h"
 #include "logic/gateway/gateway.h"
 
@@ -20,6 +21,9 @@
     std::uint64_t requestsSent = 0;
     std::uint64_t callerConnections = 0;
     std::uint64_t logLinesDropped = 0;
+    std::uint64_t callerBytes = 0;
+    EvictionCounts evictions;
+    std::uint64_t repliesEvicted = 0;
 };
 
 /// Metrics of the exchanges, by route. The number of routes is limited; further routes are counted
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "drivers/edge/gateway_node.h"
 
 #include "core/os/clock.h"
+#include "core/os/descriptor_count.h"
 #include "core/os/process_signals.h"
 #include "drivers/edge/delegation_messages.h"
 #include "drivers/edge/learned_state_messages.h"
@@ -39,17 +40,26 @@
 /// Longer delays are logged, because a caller may have waited for them.
 constexpr Duration loggedWriteDelay = std::chrono::milliseconds(250);
 constexpr Duration loggedIterationTime = std::chrono::milliseconds(100);
+/// How often the bounds on callers' connections are adapted and closed connections are logged.
+constexpr Duration boundsCheckInterval = std::chrono::seconds(1);
+/// Balancers and operators need few connections, and no answer to them has more than some 100 KB.
+constexpr std::size_t maxOperatorConnections = 32;
+constexpr std::size_t maxOperatorBytes = 4 * 1024 * 1024;
 
-/// Returns the encoded answer to a request that could not be read.
+/// Returns the encoded answer to a request that was not read completely.
 std::string makeRefusal(int status)
 {
-    return wire::writePlainReply(status, "the request can't be read", true);
+    return wire::writePlainReply(status,
+                                 status == statusUnavailable ? "no memory is left for the request"
+                                                             : "the request can't be read",
+                                 true);
 }
 
 } // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings)
     : settings(std::move(settings)),
+      shares(this->settings.memoryMegabytes, this->settings.maxDescriptors),
       jsonLog(STDOUT_FILENO, this->settings.id, this->settings.logLinesPerSecond),
       gateway(this->settings),
       targets(
@@ -57,9 +67,11 @@
               [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); },
               [this](const TargetId &target, Duration delay) {
                   this->onRequestWritten(target, delay);
-              }),
+              },
+              {this->shares.targetReplyBytes(), this->settings.message}),
       store(this->loop, this->settings.storeAddress,
-            [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); }),
+            [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); },
+            {this->shares.storeReplyBytes(), this->settings.message}),
       peers(
               this->settings.peerAddress, "",
               [this](EventBody body) { this->inbox.post(std::move(body)); }, writeLog)
@@ -126,18 +138,26 @@
     hooks.onPeerLeft = [this](ServerConnection &connection) { this->onCallerLeft(connection); };
     hooks.refusal = makeRefusal;
     this->callerListener = std::make_unique<HttpListener>(
-            this->loop, [this] { return this->gateway.limits(); }, std::move(hooks));
+            this->loop,
+            [this] {
+                CallerLimits limits = this->gateway.limits();
+                limits.message = this->settings.message;
+                return limits;
+            },
+            std::move(hooks),
+            ConnectionBounds {this->shares.callerConnections(0), this->shares.callerBytes()});
     const auto defaults = [] { return CallerLimits {}; };
-    this->readyListener = std::make_unique<HttpListener>(this->loop, defaults,
-                                                         plainHooks(&GatewayNode::onReadyRequest));
+    const ConnectionBounds operatorBounds {maxOperatorConnections, maxOperatorBytes};
+    this->readyListener = std::make_unique<HttpListener>(
+            this->loop, defaults, plainHooks(&GatewayNode::onReadyRequest), operatorBounds);
     this->controlListener = std::make_unique<HttpListener>(
-            this->loop, defaults, plainHooks(&GatewayNode::onControlRequest));
+            this->loop, defaults, plainHooks(&GatewayNode::onControlRequest), operatorBounds);
     BOOST_LEAF_CHECK(this->callerListener->listen(this->settings.callerAddress));
     BOOST_LEAF_CHECK(this->readyListener->listen(this->settings.readyAddress));
     BOOST_LEAF_CHECK(this->controlListener->listen(this->settings.controlAddress));
     if (!this->settings.metricsAddress.empty()) {
         this->metricsListener = std::make_unique<HttpListener>(
-                this->loop, defaults, plainHooks(&GatewayNode::onControlRequest));
+                this->loop, defaults, plainHooks(&GatewayNode::onControlRequest), operatorBounds);
         BOOST_LEAF_CHECK(this->metricsListener->listen(this->settings.metricsAddress));
     }
     BOOST_LEAF_CHECK(this->peers.start());
@@ -231,6 +251,7 @@
     if (this->metricsListener != nullptr) {
         this->metricsListener->checkTimeouts(now);
     }
+    this->checkBounds(now);
     this->targets.checkTimeouts(now);
     this->store.checkTimeouts(now);
     if (this->stopRequestedAt && now > *this->stopRequestedAt + balancerReactionTime) {
@@ -238,6 +259,53 @@
     }
 }
 
+void GatewayNode::checkBounds(Instant now)
+{
+    if (now - this->lastBoundsCheck < boundsCheckInterval) {
+        return;
+    }
+    this->lastBoundsCheck = now;
+    if (this->shares.limitsDescriptors()) {
+        const std::size_t callers = this->callerListener->size();
+        const std::size_t open = std::max(countOpenDescriptors(), callers);
+        this->callerListener->setMaxConnections(this->shares.callerConnections(open - callers),
+                                                now);
+    }
+    this->logEvictions();
+}
+
+void GatewayNode::logEvictions()
+{
+    const EvictionCounts &counts = this->callerListener->evictions();
+    const EvictionCounts &logged = this->loggedEvictions;
+    const auto count = [](std::string name, std::uint64_t value) {
+        return numberField(std::move(name), static_cast<std::int64_t>(value));
+    };
+    if (counts.forMemory != logged.forMemory) {
+        this->log({LogEvent::CallersEvicted,
+                   {count("closed", counts.forMemory - logged.forMemory),
+                    count("heldBytes", this->callerListener->heldBytes())}});
+    }
+    if (counts.replaced != logged.replaced || counts.refused != logged.refused) {
+        this->log({LogEvent::CallersReplaced,
+                   {count("closed", counts.replaced - logged.replaced),
+                    count("refused", counts.refused - logged.refused),
+                    count("open", this->callerListener->size())}});
+    }
+    if (counts.acceptFailures != logged.acceptFailures) {
+        this->log({LogEvent::AcceptFailed,
+                   {count("failures", counts.acceptFailures - logged.acceptFailures),
+                    count("open", this->callerListener->size())}});
+    }
+    this->loggedEvictions = counts;
+    const std::uint64_t replies = this->targets.repliesEvicted();
+    if (replies != this->loggedReplyEvictions) {
+        this->log(
+                {LogEvent::RepliesEvicted,
+                 {count("closed", replies - std::exchange(this->loggedReplyEvictions, replies))}});
+    }
+}
+
 void GatewayNode::beginStop(Instant now)
 {
     this->stopRequestedAt = now;
@@ -326,9 +394,20 @@
     if (found == this->exchangeByConnection.end()) {
         return;
     }
-    this->exchanges.erase(found->second);
-    this->pendingEvents.push_back(CallerLeft {found->second});
+    const ExchangeId exchange = found->second;
+    this->exchanges.erase(exchange);
     this->exchangeByConnection.erase(found);
+    // A request that the reducer has not seen yet is forgotten at once, with the memory that it
+    // takes: one iteration may read many requests of callers that are then closed.
+    const auto unseen = std::ranges::find_if(this->pendingEvents, [&](const GatewayEvent &event) {
+        const auto *arrived = std::get_if<RequestArrived>(&event);
+        return arrived != nullptr && arrived->exchange == exchange;
+    });
+    if (unseen != this->pendingEvents.end()) {
+        this->pendingEvents.erase(unseen);
+    } else {
+        this->pendingEvents.push_back(CallerLeft {exchange});
+    }
 }
 
 void GatewayNode::onReadyRequest(ServerConnection &connection, const HttpMessage &message)
@@ -367,8 +446,14 @@
 
 EdgeCounts GatewayNode::edgeCounts() const
 {
-    return {this->store.calls(), this->targets.connectionsOpened(), this->targets.requestsSent(),
-            this->callerListener->size(), this->jsonLog.droppedLineCount()};
+    return {this->store.calls(),
+            this->targets.connectionsOpened(),
+            this->targets.requestsSent(),
+            this->callerListener->size(),
+            this->jsonLog.droppedLineCount(),
+            this->callerListener->heldBytes(),
+            this->callerListener->evictions(),
+            this->targets.repliesEvicted()};
 }
 
 void GatewayNode::onControlRequest(ServerConnection &connection, const HttpMessage &message)
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -12,6 +12,7 @@
 #include "drivers/edge/target_links.h"
 #include "drivers/peer_socket.h"
 #include "logic/gateway/gateway.h"
+#include "logic/workload/connection_bounds.h"
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
@@ -54,6 +55,10 @@
     /// Records an iteration of the event loop.
     void recordIteration(Duration time);
     void checkTimeouts(Instant now);
+    /// Adapts the number of callers' connections to the descriptors that are left, and logs which
+    /// connections were closed because of the bounds.
+    void checkBounds(Instant now);
+    void logEvictions();
     void beginStop(Instant now);
     bool canExit(Instant now) const;
     /// Stops taking connections unless some wait to be accepted and there is time to serve them.
@@ -97,6 +102,7 @@
     void execute(WriteLog &effect);
 
     GatewaySettings settings;
+    MachineShares shares;
     JsonLog jsonLog;
     GatewayMetrics metrics;
     Gateway gateway;
@@ -117,6 +123,10 @@
     std::unordered_map<std::uint64_t, ExchangeId> exchangeByConnection;
     std::uint64_t lastExchangeId = 0;
     Instant lastTimeoutCheck {};
+    Instant lastBoundsCheck {};
+    /// What the latest log lines told.
+    EvictionCounts loggedEvictions;
+    std::uint64_t loggedReplyEvictions = 0;
     Instant lastIterationAt {};
     std::optional<Instant> stopRequestedAt;
 };
--- a/drivers/edge/http_reader.h
+++ b/drivers/edge/http_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/http_message.h"
+#include "core/message_limits.h"
 
 #include <cstddef>
 #include <memory>
@@ -18,13 +19,14 @@
 };
 
 /// Parses HTTP messages from a growing buffer, one at a time. Ambiguous messages are rejected as
-/// malformed.
+/// malformed, and so are replies with a status that no final reply can have.
 class HttpReader
 {
 public:
     enum class Kind { Request, Reply };
 
-    HttpReader(Kind kind, std::size_t headerBytes, std::size_t bodyBytes);
+    HttpReader(Kind kind, std::size_t headerBytes, std::size_t bodyBytes,
+               const MessageLimits &message = {});
     ~HttpReader();
 
     /// Parses bytes from the start of the buffer and removes them. Call expectNoBody() before
@@ -35,6 +37,11 @@
     /// Returns the complete message and resets the reader for the next one.
     HttpMessage take();
 
+    /// Discards the message that is being read and frees its memory.
+    void clear();
+
+    /// Returns how much memory the message takes that is being read.
+    std::size_t heldBytes() const;
     /// Returns true if at least one byte of the message has been read.
     bool hasStarted() const { return this->started; }
     /// Returns true, once per message, if the sender waits for "100 Continue" before it sends the
@@ -46,12 +53,27 @@
 private:
     struct Parser;
 
-    void reset();
+    /// Begins the next message, which may be the final reply after an interim one.
+    void beginMessage();
+    /// Passes bytes to the parser and removes those that it has used.
+    ReadState parse(std::string &buffer);
+    ReadState checkHeader();
+    /// Checks the parts that the parser itself does not limit. The argument is how many received
+    /// bytes the parser can't use yet.
+    ReadState checkChunkOverhead(std::size_t unparsedBytes);
+    /// Returns true if the reply that was read precedes the final one.
+    bool isInterimReply() const;
 
     Kind kind;
     std::size_t headerBytes;
     std::size_t bodyBytes;
+    MessageLimits limits;
+    /// Exists while a message is read, because it takes several kilobytes.
     std::unique_ptr<Parser> parser;
+    /// How many bytes of the message the parser has used.
+    std::size_t usedBytes = 0;
+    std::size_t fieldCount = 0;
+    std::size_t interimReplies = 0;
     bool started = false;
     bool expectsNoBody = false;
     bool continueReported = false;
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "drivers/edge/server_connection.h"
 
 #include "core/os/clock.h"
+#include "drivers/edge/trimmed_buffer.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,6 +14,11 @@
 constexpr int statusTimeout = 408;
 constexpr int statusBodyTooLong = 413;
 constexpr int statusHeaderTooLong = 431;
+constexpr int statusOverloaded = 503;
+/// What a header field takes besides its bytes: two strings in a vector.
+constexpr std::size_t fieldOverhead = 2 * sizeof(std::string);
+/// A request that waits is also encoded for its target.
+constexpr std::size_t requestCopies = 2;
 /// After the last answer, input is read and discarded for this long. Closing a connection with
 /// unread input resets it, and the peer would lose the answer.
 constexpr Duration drainTime = std::chrono::seconds(1);
@@ -21,14 +27,25 @@
 /// The first request of a connection arrives within this time, or its caller has given up.
 constexpr Duration firstRequestWait = std::chrono::seconds(1);
 
+/// Returns how much memory a request takes until it is answered.
+std::size_t countBytes(const HttpMessage &message)
+{
+    std::size_t bytes = message.target.size() + message.body.size();
+    for (const auto &[name, value] : message.fields) {
+        bytes += name.size() + value.size() + fieldOverhead;
+    }
+    return requestCopies * bytes;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(EdgeLoop &loop, Poco::Net::StreamSocket socket, std::uint64_t id,
-                                   const CallerLimits &limits, const Hooks &hooks, Instant now)
+                                   const CallerLimits &limits, const Hooks &hooks,
+                                   ByteBudget &heldBytes, Instant now)
     : loop(loop), stream(loop, std::move(socket)), connectionId(id), limits(limits), hooks(hooks),
-      reader(HttpReader::Kind::Request, limits.headerBytes, limits.bodyBytes),
-      establishedAfter(loop.arrivedAfter()), acceptedAtWait(loop.waitCount()), acceptedAt(now),
-      idleSince(now)
+      reader(HttpReader::Kind::Request, limits.headerBytes, limits.bodyBytes, limits.message),
+      heldBytes(heldBytes), peer(this->stream.peerHost()), establishedAfter(loop.arrivedAfter()),
+      acceptedAtWait(loop.waitCount()), acceptedAt(now), idleSince(now)
 {
     this->stream.watch([this](int mode) { this->onReady(mode); });
 }
@@ -40,11 +57,7 @@
         return;
     }
     if (this->closing) {
-        this->finishWritingWhenSent();
-        std::string discarded;
-        if (this->stream.read(discarded) != ReadResult::Open) {
-            this->close();
-        }
+        this->discardInput();
         return;
     }
     const bool isAnswering = this->answerPending || this->hasUnsentOutput();
@@ -53,6 +66,59 @@
         return;
     }
     this->readInput();
+    if (!this->closed) {
+        this->updateHeldBytes();
+    }
+}
+
+void ServerConnection::discardInput()
+{
+    this->finishWritingWhenSent();
+    std::string discarded;
+    if (this->stream.read(discarded) != ReadResult::Open) {
+        this->close();
+    } else {
+        this->updateHeldBytes();
+    }
+}
+
+void ServerConnection::updateHeldBytes()
+{
+    const bool fits = this->heldBytes.set(this->input.size() + this->reader.heldBytes()
+                                          + this->requestBytes + this->stream.pendingOutput());
+    if (!fits) {
+        this->hooks.onOverBudget();
+    }
+}
+
+ConnectionLoad::Phase ServerConnection::phase() const
+{
+    if (this->answerPending) {
+        return ConnectionLoad::Phase::Waiting;
+    }
+    if (this->closing || this->hasUnsentOutput()) {
+        return ConnectionLoad::Phase::Answering;
+    }
+    return this->isIdle() ? ConnectionLoad::Phase::Idle : ConnectionLoad::Phase::Receiving;
+}
+
+ConnectionLoad ServerConnection::load(Instant now) const
+{
+    const ConnectionLoad::Phase current = this->phase();
+    const Instant since = current == ConnectionLoad::Phase::Receiving ? this->requestStartedAt
+            : current == ConnectionLoad::Phase::Answering             ? this->answeredAt
+                                                                      : this->idleSince;
+    return {this->connectionId, this->peer, this->heldBytes.bytes(), current,
+            std::max(now - since, Duration::zero())};
+}
+
+void ServerConnection::evict()
+{
+    if (this->phase() == ConnectionLoad::Phase::Receiving) {
+        this->refuse(statusOverloaded);
+    } else {
+        this->close();
+    }
 }
 
 void ServerConnection::readInput()
@@ -100,17 +166,21 @@
         const std::size_t bufferedBytes = this->input.size();
         const ReadState state = this->reader.read(this->input);
         this->inputArrivals.remove(bufferedBytes - this->input.size());
+        trimBuffer(this->input);
         switch (state) {
         case ReadState::Incomplete:
             if (this->reader.expectsContinue()) {
                 this->stream.write("HTTP/1.1 100 Continue\r\n\r\n");
             }
             return;
-        case ReadState::Complete:
+        case ReadState::Complete: {
+            HttpMessage message = this->reader.take();
             this->answerPending = true;
+            this->requestBytes = countBytes(message);
             ++this->requestsRead;
-            this->hooks.onRequest(*this, this->reader.take());
+            this->hooks.onRequest(*this, std::move(message));
             break;
+        }
         case ReadState::Malformed:
             this->refuse(statusBadRequest);
             return;
@@ -133,7 +203,9 @@
 void ServerConnection::answer(const std::string &bytes, bool close, Instant now)
 {
     this->answerPending = false;
+    this->requestBytes = 0;
     this->idleSince = now;
+    this->answeredAt = now;
     if (!this->stream.write(bytes)) {
         this->close();
         return;
@@ -143,14 +215,20 @@
         return;
     }
     this->readRequests();
+    if (!this->closed) {
+        this->updateHeldBytes();
+    }
 }
 
 void ServerConnection::closeAfterOutput()
 {
     this->closing = true;
+    this->answeredAt = monotonicNow();
     this->inputArrivals.remove(this->input.size());
-    this->input.clear();
+    std::string().swap(this->input);
+    this->reader.clear();
     this->finishWritingWhenSent();
+    this->updateHeldBytes();
 }
 
 void ServerConnection::finishWritingWhenSent()
@@ -213,6 +291,10 @@
         return;
     }
     this->stream.close();
+    // The object lives on until the handlers have returned.
+    std::string().swap(this->input);
+    this->reader.clear();
+    this->heldBytes.release();
     if (std::exchange(this->answerPending, false)) {
         this->hooks.onPeerLeft(*this);
     }
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -4,8 +4,10 @@
 #include "core/routing_config.h"
 #include "core/time.h"
 #include "drivers/edge/byte_arrivals.h"
+#include "drivers/edge/byte_budget.h"
 #include "drivers/edge/byte_stream.h"
 #include "drivers/edge/http_reader.h"
+#include "logic/workload/connection_load.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,12 +28,17 @@
         std::function<void(ServerConnection &)> onPeerLeft;
         /// Called when the connection has ended.
         std::function<void(ServerConnection &)> onClosed;
-        /// Returns the encoded answer to a malformed, too long or too slow request.
+        /// Returns the encoded answer to a request that is not run: a malformed, too long or too
+        /// slow one, or one for which there is no memory.
         std::function<std::string(int status)> refusal;
+        /// Called when all connections together hold more than they may. Some must be evicted, be
+        /// it this one. Set by the listener.
+        std::function<void()> onOverBudget;
     };
 
     ServerConnection(EdgeLoop &loop, Poco::Net::StreamSocket socket, std::uint64_t id,
-                     const CallerLimits &limits, const Hooks &hooks, Instant now);
+                     const CallerLimits &limits, const Hooks &hooks, ByteBudget &heldBytes,
+                     Instant now);
 
     std::uint64_t id() const { return this->connectionId; }
     /// Returns the round trip time to the peer, if it is known.
@@ -60,6 +67,11 @@
         return (this->isIdle() || (this->closing && !this->hasUnsentOutput()))
                 && !this->hasUnreadInput();
     }
+    /// Returns what the connection holds, for the choice of those to close.
+    ConnectionLoad load(Instant now) const;
+    /// Frees what the connection holds. An incomplete request is refused; otherwise the connection
+    /// is closed without an answer, because the request may have run.
+    void evict();
     /// Closes the connection if the peer sends its request too slowly or is idle for too long.
     void checkTimeouts(const CallerLimits &limits, Instant now);
     void close();
@@ -69,6 +81,11 @@
 
 private:
     void onReady(int mode);
+    /// Discards the input when the last answer is being sent.
+    void discardInput();
+    /// Counts what the connection holds now.
+    void updateHeldBytes();
+    ConnectionLoad::Phase phase() const;
     /// Reads what has arrived, and handles the requests that are complete.
     void readInput();
     /// Returns a time after which the bytes have arrived that are read now.
@@ -89,6 +106,10 @@
     const Hooks &hooks;
     HttpReader reader;
     std::string input;
+    ByteBudget::Lease heldBytes;
+    /// What the request that waits for its answer takes.
+    std::size_t requestBytes = 0;
+    std::string peer;
     ByteArrivals inputArrivals;
     Instant requestArrival {};
     /// A time after which the connection was established, and how often the loop had waited when it
@@ -105,6 +126,7 @@
     Instant acceptedAt {};
     Instant idleSince {};
     Instant requestStartedAt {};
+    Instant answeredAt {};
     /// How much output waited to be sent at the last check, and since when it has been so much.
     std::size_t unsentOutput = 0;
     Instant unsentSince {};
--- a/drivers/edge/store_link.cpp
+++ b/drivers/edge/store_link.cpp
@@ -1,6 +1,7 @@
 #include "drivers/edge/store_link.h"
 
 #include "core/os/clock.h"
+#include "logic/workload/connection_eviction.h"
 #include "platform/store_call_codec.h"
 
 #include <utility>
@@ -13,14 +14,14 @@
 /// The store is called about once per second. A connection that has been idle for longer than this
 /// may be dead.
 constexpr Duration maxIdleTime = std::chrono::seconds(8);
-/// All incomplete replies together may take so much of the memory.
-constexpr std::size_t maxReplyBytes = 48 * 1024 * 1024;
 
 } // namespace
 
-StoreLink::StoreLink(EdgeLoop &loop, std::string address, Sink sink)
-    : loop(loop), address(std::move(address)), sink(std::move(sink)), replyBytes(maxReplyBytes)
+StoreLink::StoreLink(EdgeLoop &loop, std::string address, Sink sink, const ReplyLimits &limits)
+    : loop(loop), address(std::move(address)), sink(std::move(sink)), replyBytes(limits.heldBytes),
+      message(limits.message)
 {
+    this->hooks.onOverBudget = [this] { this->evictHolders(); };
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
     };
@@ -43,8 +44,9 @@
     if (isNew) {
         const std::uint64_t id = ++this->lastId;
         chosen = &this->links[id];
-        chosen->link = std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks,
-                                                    this->replyBytes, now + effect.timeout);
+        chosen->link =
+                std::make_unique<ClientLink>(this->loop, this->address, id, this->hooks,
+                                             this->replyBytes, this->message, now + effect.timeout);
     }
     chosen->operation = effect.operation;
     chosen->calledAt = now;
@@ -70,6 +72,19 @@
     return true;
 }
 
+void StoreLink::evictHolders()
+{
+    std::vector<ConnectionLoad> loads;
+    for (const auto &[id, entry] : this->links) {
+        loads.push_back({id, this->address, entry.link->heldBytes(),
+                         ConnectionLoad::Phase::Receiving, Duration::zero()});
+    }
+    for (const std::uint64_t id :
+         ConnectionEviction::chooseHolders(loads, this->replyBytes.excess())) {
+        this->links.at(id).link->close(LinkEndKind::Malformed);
+    }
+}
+
 void StoreLink::report(const Entry &entry, StoreAnswer answer)
 {
     answer.onKeptConnection = entry.isKept;
--- a/drivers/edge/store_link.h
+++ b/drivers/edge/store_link.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "drivers/edge/client_link.h"
+#include "drivers/edge/reply_limits.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
 
@@ -21,7 +22,7 @@
 public:
     using Sink = std::function<void(GatewayEvent)>;
 
-    StoreLink(EdgeLoop &loop, std::string address, Sink sink);
+    StoreLink(EdgeLoop &loop, std::string address, Sink sink, const ReplyLimits &limits = {});
     ~StoreLink();
 
     void call(const CallStore &effect, Instant now);
@@ -47,6 +48,8 @@
 
     bool onReply(ClientLink &link, HttpMessage message);
     void onEnd(ClientLink &link, LinkEndKind end);
+    /// Closes the links that hold most until all together hold less than they may.
+    void evictHolders();
     void report(const Entry &entry, StoreAnswer answer);
 
     EdgeLoop &loop;
@@ -54,6 +57,7 @@
     Sink sink;
     ClientLink::Hooks hooks;
     ByteBudget replyBytes;
+    MessageLimits message;
     std::unordered_map<std::uint64_t, Entry> links;
     std::uint64_t lastId = 0;
     std::uint64_t callCount = 0;
--- a/drivers/edge/target_links.cpp
+++ b/drivers/edge/target_links.cpp
@@ -1,6 +1,7 @@
 #include "drivers/edge/target_links.h"
 
 #include "core/os/clock.h"
+#include "logic/workload/connection_eviction.h"
 #include "platform/message_codec.h"
 
 #include <algorithm>
@@ -10,8 +11,6 @@
 
 namespace {
 
-/// All incomplete replies together may take so much of the memory.
-constexpr std::size_t maxReplyBytes = 48 * 1024 * 1024;
 /// With less time a target would refuse the request at once.
 constexpr Duration minTimeLimit = std::chrono::milliseconds(1);
 /// How long an idle link is kept if the target's reply does not contain an idle time.
@@ -43,9 +42,12 @@
 
 } // namespace
 
-TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten)
-    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten)), replyBytes(maxReplyBytes)
+TargetLinks::TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten,
+                         const ReplyLimits &limits)
+    : loop(loop), sink(std::move(sink)), onWritten(std::move(onWritten)),
+      replyBytes(limits.heldBytes), message(limits.message)
 {
+    this->hooks.onOverBudget = [this] { this->evictHolders(); };
     this->hooks.onReply = [this](ClientLink &link, HttpMessage message) {
         return this->onReply(link, std::move(message));
     };
@@ -76,8 +78,9 @@
 {
     const std::uint64_t id = ++this->lastId;
     Entry &entry = this->links[id];
-    entry.link = std::make_unique<ClientLink>(this->loop, address, id, this->hooks,
-                                              this->replyBytes, now + this->connectTime.limit());
+    entry.link =
+            std::make_unique<ClientLink>(this->loop, address, id, this->hooks, this->replyBytes,
+                                         this->message, now + this->connectTime.limit());
     entry.key = key;
     entry.openedAt = now;
     ++this->openedCount;
@@ -186,6 +189,20 @@
     }
 }
 
+void TargetLinks::evictHolders()
+{
+    std::vector<ConnectionLoad> loads;
+    for (const auto &[id, entry] : this->links) {
+        loads.push_back(
+                {id, entry.key, entry.link->heldBytes(), ConnectionLoad::Phase::Receiving, {}});
+    }
+    for (const std::uint64_t id :
+         ConnectionEviction::chooseHolders(loads, this->replyBytes.excess())) {
+        ++this->evictedCount;
+        this->links.at(id).link->close(LinkEndKind::Malformed);
+    }
+}
+
 void TargetLinks::withdrawUnsent()
 {
     std::vector<ClientLink *> unsent;
--- a/drivers/edge/target_links.h
+++ b/drivers/edge/target_links.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "drivers/edge/client_link.h"
+#include "drivers/edge/reply_limits.h"
 #include "logic/gateway/connect_time.h"
 #include "logic/gateway/gateway_effects.h"
 #include "logic/gateway/gateway_events.h"
@@ -24,7 +25,7 @@
     /// Called when a request was written, with the time since its attempt was started.
     using WriteObserver = std::function<void(const TargetId &, Duration)>;
 
-    TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten);
+    TargetLinks(EdgeLoop &loop, Sink sink, WriteObserver onWritten, const ReplyLimits &limits = {});
     ~TargetLinks();
 
     void startAttempt(const StartAttempt &effect, Instant now);
@@ -40,6 +41,8 @@
 
     std::uint64_t connectionsOpened() const { return this->openedCount; }
     std::uint64_t requestsSent() const { return this->sentCount; }
+    /// Returns how many replies were given up because all together held too many bytes.
+    std::uint64_t repliesEvicted() const { return this->evictedCount; }
 
 private:
     /// A connection and the attempt that it carries.
@@ -62,6 +65,8 @@
     void onConnected(ClientLink &link);
     bool onReply(ClientLink &link, HttpMessage message);
     void onEnd(ClientLink &link, LinkEndKind end);
+    /// Closes the links that hold most until all together hold less than they may.
+    void evictHolders();
     ClientLink *takeIdle(const std::string &key, Instant now);
 
     EdgeLoop &loop;
@@ -69,6 +74,7 @@
     WriteObserver onWritten;
     ClientLink::Hooks hooks;
     ByteBudget replyBytes;
+    MessageLimits message;
     ConnectTime connectTime;
     std::unordered_map<std::uint64_t, Entry> links;
     /// The idle links by key, the most recently used one last.
@@ -77,6 +83,7 @@
     std::uint64_t lastId = 0;
     std::uint64_t openedCount = 0;
     std::uint64_t sentCount = 0;
+    std::uint64_t evictedCount = 0;
 };
 
 } // namespace lagoondeck
--- a/main/lagoondeckd_main.cpp
+++ b/main/lagoondeckd_main.cpp
@@ -1,6 +1,7 @@
 #include "core/errors.h"
 #include "core/gateway_settings_file.h"
 #include "core/json_input.h"
+#include "core/os/heap.h"
 #include "core/os/process_signals.h"
 #include "core/settings_file.h"
 #include "drivers/edge/gateway_node.h"
@@ -99,6 +100,9 @@
     if (settings.seed == 0) {
         settings.seed = std::random_device {}();
     }
+    if (settings.memoryMegabytes > 0) {
+        returnFreedBlocks();
+    }
     startLog("", program);
     GatewayNode node(settings);
     BOOST_LEAF_CHECK(node.run(signals, [&] { reloadGatewaySettings(options.settingsFile); }));
