--- a/drivers/edge/delegation_messages.cpp
+++ b/drivers/edge/delegation_messages.cpp
@@ -13,6 +13,7 @@
 
 /// Longer times are reduced to this one, so that sums of times can't overflow.
 constexpr Duration maxTimeLeft = std::chrono::hours(24);
+constexpr int statusBadGateway = 502;
 
 std::shared_ptr<proto::PeerMessage> createMessage(const std::string &sender,
                                                   const std::string &senderAddress)
@@ -161,6 +162,12 @@
         answer.reply.forwarded = decodeForwardedReply(encoded.forwarded());
         answer.reply.status = answer.reply.forwarded->status;
     }
+    if (!isFinalStatus(answer.reply.status)) {
+        answer.reply = CallerReply();
+        answer.reply.status = statusBadGateway;
+        answer.reply.detail = "the instance that served the request for this one sent an invalid "
+                              "status; the request may have run";
+    }
     for (const std::string &target : encoded.leaving_targets()) {
         answer.leavingTargets.emplace_back(target);
     }
