--- a/core/gateway_settings_file.cpp
+++ b/core/gateway_settings_file.cpp
@@ -47,12 +47,15 @@
     }
 }
 
-/// Reads a number that is either in the range or, if it is unknown, 0.
+/// Reads a number that is either in the range or, if it is unknown, 0. A fraction is cut off,
+/// because the platform states the sizes of machines as it likes.
 void readUnlessUnknown(FieldReader &reader, const char *name, std::uint64_t &value,
                        std::uint64_t lowest, std::uint64_t highest)
 {
-    reader.read(name, value, 0, highest);
-    if (value != 0 && value < lowest) {
+    double number = static_cast<double>(value);
+    reader.read(name, number, 0.0, static_cast<double>(highest));
+    value = static_cast<std::uint64_t>(number);
+    if (number != 0.0 && value < lowest) {
         reader.addProblem(name, FieldProblemKind::OutOfRange,
                           "expected 0 or a number from " + std::to_string(lowest) + " to "
                                   + std::to_string(highest));
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -1,7 +1,6 @@
 #include "drivers/edge/gateway_node.h"
 
 #include "core/os/clock.h"
-#include "core/os/descriptor_count.h"
 #include "core/os/process_signals.h"
 #include "drivers/edge/delegation_messages.h"
 #include "drivers/edge/learned_state_messages.h"
@@ -40,8 +39,6 @@
 /// Longer delays are logged, because a caller may have waited for them.
 constexpr Duration loggedWriteDelay = std::chrono::milliseconds(250);
 constexpr Duration loggedIterationTime = std::chrono::milliseconds(100);
-/// How often the bounds on callers' connections are adapted and closed connections are logged.
-constexpr Duration boundsCheckInterval = std::chrono::seconds(1);
 /// Balancers and operators need few connections, and no answer to them has more than some 100 KB.
 constexpr std::size_t maxOperatorConnections = 32;
 constexpr std::size_t maxOperatorBytes = 4 * 1024 * 1024;
@@ -74,7 +71,8 @@
             {this->shares.storeReplyBytes(), this->settings.message}),
       peers(
               this->settings.peerAddress, "",
-              [this](EventBody body) { this->inbox.post(std::move(body)); }, writeLog)
+              [this](EventBody body) { this->inbox.post(std::move(body)); }, writeLog),
+      boundsCheck(this->shares, [this](const WriteLog &entry) { this->log(entry); })
 { }
 
 GatewayNode::~GatewayNode()
@@ -251,7 +249,7 @@
     if (this->metricsListener != nullptr) {
         this->metricsListener->checkTimeouts(now);
     }
-    this->checkBounds(now);
+    this->boundsCheck.run(*this->callerListener, this->targets, now);
     this->targets.checkTimeouts(now);
     this->store.checkTimeouts(now);
     if (this->stopRequestedAt && now > *this->stopRequestedAt + balancerReactionTime) {
@@ -259,53 +257,6 @@
     }
 }
 
-void GatewayNode::checkBounds(Instant now)
-{
-    if (now - this->lastBoundsCheck < boundsCheckInterval) {
-        return;
-    }
-    this->lastBoundsCheck = now;
-    if (this->shares.limitsDescriptors()) {
-        const std::size_t callers = this->callerListener->size();
-        const std::size_t open = std::max(countOpenDescriptors(), callers);
-        this->callerListener->setMaxConnections(this->shares.callerConnections(open - callers),
-                                                now);
-    }
-    this->logEvictions();
-}
-
-void GatewayNode::logEvictions()
-{
-    const EvictionCounts &counts = this->callerListener->evictions();
-    const EvictionCounts &logged = this->loggedEvictions;
-    const auto count = [](std::string name, std::uint64_t value) {
-        return numberField(std::move(name), static_cast<std::int64_t>(value));
-    };
-    if (counts.forMemory != logged.forMemory) {
-        this->log({LogEvent::CallersEvicted,
-                   {count("closed", counts.forMemory - logged.forMemory),
-                    count("heldBytes", this->callerListener->heldBytes())}});
-    }
-    if (counts.replaced != logged.replaced || counts.refused != logged.refused) {
-        this->log({LogEvent::CallersReplaced,
-                   {count("closed", counts.replaced - logged.replaced),
-                    count("refused", counts.refused - logged.refused),
-                    count("open", this->callerListener->size())}});
-    }
-    if (counts.acceptFailures != logged.acceptFailures) {
-        this->log({LogEvent::AcceptFailed,
-                   {count("failures", counts.acceptFailures - logged.acceptFailures),
-                    count("open", this->callerListener->size())}});
-    }
-    this->loggedEvictions = counts;
-    const std::uint64_t replies = this->targets.repliesEvicted();
-    if (replies != this->loggedReplyEvictions) {
-        this->log(
-                {LogEvent::RepliesEvicted,
-                 {count("closed", replies - std::exchange(this->loggedReplyEvictions, replies))}});
-    }
-}
-
 void GatewayNode::beginStop(Instant now)
 {
     this->stopRequestedAt = now;
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -4,6 +4,7 @@
 #include "core/http_message.h"
 #include "core/os/inbox.h"
 #include "core/time.h"
+#include "drivers/edge/bounds_check.h"
 #include "drivers/edge/edge_loop.h"
 #include "drivers/edge/gateway_metrics.h"
 #include "drivers/edge/http_listener.h"
@@ -55,10 +56,6 @@
     /// Records an iteration of the event loop.
     void recordIteration(Duration time);
     void checkTimeouts(Instant now);
-    /// Adapts the number of callers' connections to the descriptors that are left, and logs which
-    /// connections were closed because of the bounds.
-    void checkBounds(Instant now);
-    void logEvictions();
     void beginStop(Instant now);
     bool canExit(Instant now) const;
     /// Stops taking connections unless some wait to be accepted and there is time to serve them.
@@ -114,6 +111,7 @@
     StoreLink store;
     Inbox inbox;
     PeerSocket peers;
+    BoundsCheck boundsCheck;
     std::unique_ptr<HttpListener> callerListener;
     std::unique_ptr<HttpListener> readyListener;
     std::unique_ptr<HttpListener> controlListener;
@@ -123,10 +121,6 @@
     std::unordered_map<std::uint64_t, ExchangeId> exchangeByConnection;
     std::uint64_t lastExchangeId = 0;
     Instant lastTimeoutCheck {};
-    Instant lastBoundsCheck {};
-    /// What the latest log lines told.
-    EvictionCounts loggedEvictions;
-    std::uint64_t loggedReplyEvictions = 0;
     Instant lastIterationAt {};
     std::optional<Instant> stopRequestedAt;
 };
--- a/tests/core/test_gateway_settings.cpp
+++ b/tests/core/test_gateway_settings.cpp
@@ -48,6 +48,7 @@
     for (const auto &[name, value] :
          std::vector<std::pair<std::string, nlohmann::json>> {{"memoryMegabytes", 0},
                                                               {"memoryMegabytes", 160},
+                                                              {"memoryMegabytes", 160.5},
                                                               {"maxDescriptors", 0},
                                                               {"maxDescriptors", 4100},
                                                               {"maxRequestLineBytes", 8000},
