--- a/tests/untrusted_callers/daemon_fixture.h
+++ b/tests/untrusted_callers/daemon_fixture.h
@@ -93,11 +93,17 @@
         const auto service = [](const std::string &name) {
             return nlohmann::json {{"name", name}, {"max_conns", 512}};
         };
+        nlohmann::json gathered = route("all", "");
+        gathered.erase("service");
+        gathered["gather"] = {"g0", "g3"};
+        gathered["min_coverage"] = 0.5;
+        gathered["top_k"] = 100;
+        gathered["target_latency_ms"] = 2000;
         // Timeouts that don't end a connection while a test runs.
         return {{"version", 3},
                 {"routes",
                  {route("one", "g0"), route("waits", "g1"), route("long", "g2"),
-                  route("endless", "g3")}},
+                  route("endless", "g3"), gathered}},
                 {"services", {service("g0"), service("g1"), service("g2"), service("g3")}},
                 {"limits",
                  {{"max_header_bytes", maxHeaderBytes},
--- a/tests/untrusted_callers/test_invalid_status.cpp
+++ b/tests/untrusted_callers/test_invalid_status.cpp
@@ -26,3 +26,21 @@
     INFO(view.head);
     CHECK(view.status == 502);
 }
+
+// Guards against taking a reply with an invalid status for the answer of a part.
+TEST_CASE("a gathered answer lacks the part whose reply has an invalid status")
+{
+    const std::string line = GENERATE("HTTP/1.1 999 A", "HTTP/1.1 600 A", "HTTP/1.1 099 A");
+    INFO(line);
+    DaemonFixture fixture(manyDescriptors,
+                          line
+                                  + "\r\nRequest-Id: c\r\nServer-Stamp: endless/c\r\n"
+                                    "Content-Length: 16\r\n\r\nzzzzzzzzzzzzzzzz",
+                          "x");
+    edgetest::RawCaller caller(fixture.callerAddress());
+    const edgetest::CallerView view = caller.call("/all/x", "c");
+    INFO(view.head);
+    CHECK(view.status == 200);
+    CHECK(view.head.find("tg0/c") != std::string::npos);
+    CHECK(view.head.find("endless/c") == std::string::npos);
+}
--- a/tests/untrusted_callers/test_untrusted_callers.cpp
+++ b/tests/untrusted_callers/test_untrusted_callers.cpp
@@ -146,3 +146,17 @@
         }
     });
 }
+
+// Guards against bounds that an ordinary caller within the limits meets.
+TEST_CASE("the longest body and long answers are served within the bounds")
+{
+    DaemonFixture fixture;
+    TestClient client(fixture.callerAddress());
+    const Headers headers {{"Host", "h"}, {"Request-Id", "l"}, {"Deadline-Ms", "60000"}};
+    for (int i = 0; i < 3; ++i) {
+        CHECK(client.call("POST", "/one/x", std::string(maxBodyBytes, 'x'), headers).status()
+              == 200);
+        CHECK(client.call("GET", "/long/x", "", headers).body.size() == longAnswerBytes);
+    }
+    fixture.checkBounds();
+}
