--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -134,6 +134,14 @@
          "A waiting part was given up because the parts ahead of it take longer than it may wait."},
         {LogEvent::WaitQueueFull, "WaitQueueFull", LogSeverity::Warning,
          "A waiting part was given up because too many parts wait for its group."},
+        {LogEvent::CallersEvicted, "CallersEvicted", LogSeverity::Warning,
+         "Callers' connections were closed because all together held too many bytes."},
+        {LogEvent::CallersReplaced, "CallersReplaced", LogSeverity::Warning,
+         "Callers' connections were closed because there were too many."},
+        {LogEvent::AcceptFailed, "AcceptFailed", LogSeverity::Error,
+         "Connections could not be accepted because no descriptor was free."},
+        {LogEvent::RepliesEvicted, "RepliesEvicted", LogSeverity::Warning,
+         "Targets' replies were given up because all together held too many bytes."},
 });
 
 } // namespace
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -75,6 +75,10 @@
     TargetCold = 714,
     WaitTooLong = 720,
     WaitQueueFull = 721,
+    CallersEvicted = 730,
+    CallersReplaced = 731,
+    AcceptFailed = 732,
+    RepliesEvicted = 733,
 };
 
 /// The documentation of a log event.
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -41,17 +41,24 @@
 /// Longer delays are logged, because a caller may have waited for them.
 constexpr Duration loggedWriteDelay = std::chrono::milliseconds(250);
 constexpr Duration loggedIterationTime = std::chrono::milliseconds(100);
+/// Balancers and operators need few connections, and no answer to them has more than some 100 KB.
+constexpr std::size_t maxOperatorConnections = 32;
+constexpr std::size_t maxOperatorBytes = 4 * 1024 * 1024;
 
-/// Returns the encoded answer to a request that could not be read.
+/// Returns the encoded answer to a request that was not read completely.
 std::string makeRefusal(int status)
 {
-    return wire::writePlainReply(status, "the request can't be read", true);
+    return wire::writePlainReply(status,
+                                 status == statusUnavailable ? "no memory is left for the request"
+                                                             : "the request can't be read",
+                                 true);
 }
 
 } // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings)
     : settings(std::move(settings)),
+      shares(this->settings.memoryMegabytes, this->settings.maxDescriptors),
       jsonLog(STDOUT_FILENO, this->settings.id, this->settings.logLinesPerSecond),
       gateway(this->settings),
       targets(
@@ -60,12 +67,14 @@
               [this](const TargetId &target, Duration delay) {
                   this->onRequestWritten(target, delay);
               },
-              this->traffic),
+              this->traffic, {this->shares.targetReplyBytes(), this->settings.message}),
       store(this->loop, this->settings.storeAddress,
-            [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); }),
+            [this](GatewayEvent event) { this->pendingEvents.push_back(std::move(event)); },
+            {this->shares.storeReplyBytes(), this->settings.message}),
       peers(
               this->settings.peerAddress, "",
-              [this](EventBody body) { this->inbox.post(std::move(body)); }, writeLog)
+              [this](EventBody body) { this->inbox.post(std::move(body)); }, writeLog),
+      boundsCheck(this->shares, [this](const WriteLog &entry) { this->log(entry); })
 { }
 
 GatewayNode::~GatewayNode()
@@ -135,18 +144,26 @@
     hooks.onPeerLeft = [this](ServerConnection &connection) { this->onCallerLeft(connection); };
     hooks.refusal = makeRefusal;
     this->callerListener = std::make_unique<HttpListener>(
-            this->loop, [this] { return this->gateway.limits(); }, std::move(hooks));
+            this->loop,
+            [this] {
+                CallerLimits limits = this->gateway.limits();
+                limits.message = this->settings.message;
+                return limits;
+            },
+            std::move(hooks),
+            ConnectionBounds {this->shares.callerConnections(0), this->shares.callerBytes()});
     const auto defaults = [] { return CallerLimits {}; };
-    this->readyListener = std::make_unique<HttpListener>(this->loop, defaults,
-                                                         plainHooks(&GatewayNode::onReadyRequest));
+    const ConnectionBounds operatorBounds {maxOperatorConnections, maxOperatorBytes};
+    this->readyListener = std::make_unique<HttpListener>(
+            this->loop, defaults, plainHooks(&GatewayNode::onReadyRequest), operatorBounds);
     this->controlListener = std::make_unique<HttpListener>(
-            this->loop, defaults, plainHooks(&GatewayNode::onControlRequest));
+            this->loop, defaults, plainHooks(&GatewayNode::onControlRequest), operatorBounds);
     BOOST_LEAF_CHECK(this->callerListener->listen(this->settings.callerAddress));
     BOOST_LEAF_CHECK(this->readyListener->listen(this->settings.readyAddress));
     BOOST_LEAF_CHECK(this->controlListener->listen(this->settings.controlAddress));
     if (!this->settings.metricsAddress.empty()) {
         this->metricsListener = std::make_unique<HttpListener>(
-                this->loop, defaults, plainHooks(&GatewayNode::onControlRequest));
+                this->loop, defaults, plainHooks(&GatewayNode::onControlRequest), operatorBounds);
         BOOST_LEAF_CHECK(this->metricsListener->listen(this->settings.metricsAddress));
     }
     BOOST_LEAF_CHECK(this->peers.start());
@@ -240,6 +257,7 @@
     if (this->metricsListener != nullptr) {
         this->metricsListener->checkTimeouts(now);
     }
+    this->boundsCheck.run(*this->callerListener, this->targets, now);
     this->targets.checkTimeouts(now);
     this->store.checkTimeouts(now);
     if (this->stopRequestedAt && now > *this->stopRequestedAt + balancerReactionTime) {
@@ -335,9 +353,20 @@
     if (found == this->exchangeByConnection.end()) {
         return;
     }
-    this->exchanges.erase(found->second);
-    this->pendingEvents.push_back(CallerLeft {found->second});
+    const ExchangeId exchange = found->second;
+    this->exchanges.erase(exchange);
     this->exchangeByConnection.erase(found);
+    // A request that the reducer has not seen yet is forgotten at once, with the memory that it
+    // takes: one iteration may read many requests of callers that are then closed.
+    const auto unseen = std::ranges::find_if(this->pendingEvents, [&](const GatewayEvent &event) {
+        const auto *arrived = std::get_if<RequestArrived>(&event);
+        return arrived != nullptr && arrived->exchange == exchange;
+    });
+    if (unseen != this->pendingEvents.end()) {
+        this->pendingEvents.erase(unseen);
+    } else {
+        this->pendingEvents.push_back(CallerLeft {exchange});
+    }
 }
 
 void GatewayNode::onReadyRequest(ServerConnection &connection, const HttpMessage &message)
@@ -376,8 +405,14 @@
 
 EdgeCounts GatewayNode::edgeCounts() const
 {
-    return {this->store.calls(), this->targets.connectionsOpened(), this->targets.requestsSent(),
-            this->callerListener->size(), this->jsonLog.droppedLineCount()};
+    return {this->store.calls(),
+            this->targets.connectionsOpened(),
+            this->targets.requestsSent(),
+            this->callerListener->size(),
+            this->jsonLog.droppedLineCount(),
+            this->callerListener->heldBytes(),
+            this->callerListener->evictions(),
+            this->targets.repliesEvicted()};
 }
 
 void GatewayNode::onControlRequest(ServerConnection &connection, const HttpMessage &message)
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -4,6 +4,7 @@
 #include "core/http_message.h"
 #include "core/os/inbox.h"
 #include "core/time.h"
+#include "drivers/edge/bounds_check.h"
 #include "drivers/edge/edge_loop.h"
 #include "drivers/edge/gateway_metrics.h"
 #include "drivers/edge/http_listener.h"
@@ -13,6 +14,7 @@
 #include "drivers/edge/target_links.h"
 #include "drivers/peer_socket.h"
 #include "logic/gateway/gateway.h"
+#include "logic/workload/connection_bounds.h"
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
@@ -104,6 +106,7 @@
     void execute(WriteLog &effect);
 
     GatewaySettings settings;
+    MachineShares shares;
     JsonLog jsonLog;
     GatewayMetrics metrics;
     Gateway gateway;
@@ -117,6 +120,7 @@
     StoreLink store;
     Inbox inbox;
     PeerSocket peers;
+    BoundsCheck boundsCheck;
     std::unique_ptr<HttpListener> callerListener;
     std::unique_ptr<HttpListener> readyListener;
     std::unique_ptr<HttpListener> controlListener;
