--- a/tests/drivers_edge/test_json_log.cpp
+++ b/tests/drivers_edge/test_json_log.cpp
@@ -55,7 +55,7 @@
         metrics.record({"route" + std::to_string(i), ExchangeOutcome::Late, EndReason::Complete,
                         std::chrono::milliseconds(5), 2, 1});
     }
-    const std::string page = metrics.page({}, {});
+    const std::string page = metrics.page({}, {}, {});
     CHECK(page.find("outcome=\"late\"") != std::string::npos);
     CHECK(page.find("route=\"other\"") != std::string::npos);
     CHECK(page.find("route=\"route400\"") == std::string::npos);
--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -78,6 +78,61 @@
     CHECK(read->update.evacuationDigest == 34);
 }
 
+// Guards against a large configuration that fills the links between failure domains.
+TEST_CASE("a large value is compressed for members that read that, and comes back unchanged")
+{
+    std::string value = R"({"version":7,"routes":[)";
+    for (int i = 0; i < 200; ++i) {
+        value += std::string(i == 0 ? "" : ",")
+                + R"({"name":"r","host":"h","prefix":"/a/","service":"s","timeout_ms":100})";
+    }
+    value += "]}";
+    StoreUpdate update;
+    update.changes.push_back(wire::readChange("op/config", value, 3));
+    const auto compressed = writeStoreUpdate(update, true, "b", "127.0.0.1:2");
+    const auto plain = writeStoreUpdate(update, false, "b", "127.0.0.1:2");
+    CHECK(compressed->ByteSizeLong() * 10 < plain->ByteSizeLong());
+    CHECK(plain->world().items(0).value() == value);
+    for (const auto &message : {compressed, plain}) {
+        const auto read = readStoreUpdate(*message);
+        REQUIRE(read);
+        CHECK(*read->update.changes.at(0).encodedValue == value);
+        CHECK(std::get<RoutingConfigPtr>(read->update.changes[0].content)->version == 7);
+    }
+}
+
+TEST_CASE("a compressed value that can't be read is no configuration")
+{
+    proto::PeerMessage message;
+    proto::WorldItem &item = *message.mutable_world()->add_items();
+    item.set_key("op/config");
+    item.set_compressed_value("no compressed value");
+    const auto read = readStoreUpdate(message);
+    REQUIRE(read);
+    CHECK(std::holds_alternative<std::monostate>(read->update.changes.at(0).content));
+    CHECK_FALSE(read->update.changes[0].problem.empty());
+}
+
+TEST_CASE("a request for the state and its reply keep what they tell of the parts")
+{
+    StoreUpdate request;
+    request.isStateRequest = true;
+    request.bucketDigests = {1, 2, 3};
+    const auto readRequest = readStoreUpdate(*writeStoreUpdate(request, true, "b", "127.0.0.1:2"));
+    REQUIRE(readRequest);
+    CHECK(readRequest->update.bucketDigests == request.bucketDigests);
+    CHECK(readRequest->update.acceptsCompression);
+
+    StoreUpdate reply;
+    reply.isFullState = true;
+    reply.isPartialState = true;
+    reply.buckets = {4, 60};
+    const auto readReply = readStoreUpdate(*writeStoreUpdate(reply, true, "b", "127.0.0.1:2"));
+    REQUIRE(readReply);
+    CHECK(readReply->update.isPartialState);
+    CHECK(readReply->update.buckets == reply.buckets);
+}
+
 TEST_CASE("a report of limits is decoded to the values that were encoded")
 {
     const LimitReport report {InstanceId("b"), 99, {{TargetId("t1"), 33.1}, {TargetId("t2"), {}}}};
