--- a/tests/drivers_edge/test_peer_messages.cpp
+++ b/tests/drivers_edge/test_peer_messages.cpp
@@ -3,6 +3,7 @@
 #include "drivers/edge/peer_store_update.h"
 #include "logic/gateway/limit_bucket.h"
 #include "logic/gateway/retry_budget.h"
+#include "platform/store_value_codec.h"
 #include "proto/peer.pb.h"
 
 #include <catch2/catch.hpp>
