--- a/tests/logic/replication/test_relay_tree.cpp
+++ b/tests/logic/replication/test_relay_tree.cpp
@@ -46,8 +46,8 @@
 TEST_CASE("every member receives an update exactly once, whichever member is the origin")
 {
     rc::prop("the children of all members make up the fleet", [] {
-        const auto domains =
-                *rc::gen::nonEmpty<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 6));
+        const auto domains = *rc::gen::nonEmpty(
+                rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 6)));
         const auto origin = *rc::gen::inRange<std::size_t>(0, domains.size());
         const Spread result = spread(domains, origin);
         RC_ASSERT(result.received == std::vector<int>(domains.size(), 1));
