Keep the rate of a cap as its long-run average again

Regaining the burst in every window served up to 1.3 times the rate for as long as the demand lasted: 5,686 requests in 60 s where 4,340 are allowed, and 618 in 5 s where 559 are, with a cut-off holder (test_logic_accounts). The tests of the configuration's confirmation now say that their store was restored from a copy, which is the case in which a confirmation is needed.

--- a/logic/accounts/account_bucket.cpp
+++ b/logic/accounts/account_bucket.cpp
@@ -11,9 +11,6 @@
 /// are evenly spaced at their callers reach a holder up to 50 ms closer together.
 constexpr double extraTokens = 1.0;
 constexpr double spacingTolerance = 0.05;
-/// The part of the burst that is regained within a window. The rest is a margin for holders that
-/// see different requests.
-constexpr double regainedBurst = 0.8;
 /// Refused requests get times of return within this time, or the time of one request if that is
 /// longer. Callers don't wait much longer than a few seconds.
 constexpr Duration returnHorizon = std::chrono::seconds(5);
@@ -28,12 +25,6 @@
 
 } // namespace
 
-double AccountBucket::refillRate(const ClientAccount &account)
-{
-    return account.requestsPerSecond
-            + regainedBurst * account.burst / std::chrono::duration<double>(capWindow).count();
-}
-
 double AccountBucket::capacityOf(const ClientAccount &account)
 {
     return account.burst + toleranceOf(account);
@@ -47,10 +38,10 @@
 AccountTokens AccountBucket::take(const ClientAccount &account, const AccountWish &wish,
                                   Instant now)
 {
-    const double rate = refillRate(account);
+    const double rate = account.requestsPerSecond;
     const double capacity = capacityOf(account);
     this->bucket.refill(rate, capacity, now);
-    this->settle(wish.returned, wish.charged, now);
+    this->settle(wish.returned, wish.charged);
     double tokens = this->bucket.refill(rate, capacity, now);
     // More than this is only owed after a pause or a wrong message, and would close the account.
     if (const double minTokens = -toleranceOf(account); tokens < minTokens) {
@@ -59,13 +50,9 @@
     }
     AccountTokens result;
     result.account = account.name;
-    const double windowLimit =
-            account.requestsPerSecond * std::chrono::duration<double>(capWindow).count() + capacity;
-    tokens = std::min(tokens, windowLimit - this->granted.count(now));
     result.granted = static_cast<std::uint32_t>(
             std::clamp(std::floor(tokens), 0.0, static_cast<double>(wish.count)));
     this->bucket.add(-static_cast<double>(result.granted));
-    this->granted.add(result.granted, now);
     if (result.granted < wish.count) {
         result.retryInterval = timeOf(1.0, rate);
         result.retryAfter = this->reserveReturns(account, tokens - result.granted,
@@ -78,9 +65,8 @@
 Instant AccountBucket::reserveReturns(const ClientAccount &account, double tokens,
                                       std::uint32_t count, Instant now)
 {
-    const double rate = refillRate(account);
-    const Duration interval = timeOf(1.0, rate);
-    const Instant availableAt = now + timeOf(1.0 - tokens, rate);
+    const Duration interval = timeOf(1.0, account.requestsPerSecond);
+    const Instant availableAt = now + timeOf(1.0 - tokens, account.requestsPerSecond);
     Instant first = std::max(this->nextReturnAt, availableAt);
     if (first - availableAt > std::max(returnHorizon, interval)) {
         first = availableAt;
--- a/logic/accounts/account_bucket.h
+++ b/logic/accounts/account_bucket.h
@@ -2,7 +2,6 @@
 
 #include "core/client_account.h"
 #include "logic/accounts/account_tokens.h"
-#include "logic/admission/sliding_window_count.h"
 #include "logic/admission/token_bucket.h"
 
 #include <cstdint>
@@ -10,18 +9,9 @@
 namespace lagoondeck {
 
 /// One holder's token bucket of an account, with the full rate and burst of the account's cap.
-///
-/// The cap is what an account may use in any window of some seconds: the rate over the window, and
-/// the burst. The bucket regains the burst within a window, and counts what it granted in the last
-/// one, so that a burst that was saved up and a steady use together stay within the cap.
 class AccountBucket
 {
 public:
-    /// The window over which operators measure the use of an account.
-    static constexpr Duration capWindow = std::chrono::seconds(5);
-
-    /// Returns the rate at which the bucket of an account fills.
-    static double refillRate(const ClientAccount &account);
     /// Returns how many tokens the bucket of an account holds at most.
     static double capacityOf(const ClientAccount &account);
     /// Returns the part of the capacity that is not the burst.
@@ -33,11 +23,9 @@
     void limit(double tokens, Instant now) { this->bucket.refill(0.0, tokens, now); }
     /// Adds the tokens that were not used, and takes those of requests that were served although
     /// they were refused.
-    void settle(std::uint32_t returned, std::uint32_t charged, Instant now)
+    void settle(std::uint32_t returned, std::uint32_t charged)
     {
-        const double taken = static_cast<double>(charged) - static_cast<double>(returned);
-        this->bucket.add(-taken);
-        this->granted.add(taken, now);
+        this->bucket.add(static_cast<double>(returned) - static_cast<double>(charged));
     }
     /// Applies the returned and charged tokens of a wish, and takes as many tokens as are wanted
     /// and available. Refused requests get times of return that follow one another at the rate of
@@ -50,7 +38,6 @@
                            Instant now);
 
     TokenBucket bucket;
-    SlidingWindowCount granted {capWindow};
     /// When the next refused request may return.
     Instant nextReturnAt {};
 };
--- a/logic/accounts/account_cap_holder.cpp
+++ b/logic/accounts/account_cap_holder.cpp
@@ -71,10 +71,10 @@
 }
 
 void AccountCapHolder::settle(const std::string &account, std::uint32_t returned,
-                              std::uint32_t charged, Instant now)
+                              std::uint32_t charged)
 {
     if (const auto found = this->caps.find(account); found != this->caps.end()) {
-        found->second.bucket.settle(returned, charged, now);
+        found->second.bucket.settle(returned, charged);
     }
 }
 
--- a/logic/accounts/account_cap_holder.h
+++ b/logic/accounts/account_cap_holder.h
@@ -29,8 +29,7 @@
     std::vector<AccountTokens> answer(const std::vector<AccountWish> &wishes,
                                       const AccountDirectory &accounts, Instant now);
     /// Applies what became of tokens that this instance asked of itself.
-    void settle(const std::string &account, std::uint32_t returned, std::uint32_t charged,
-                Instant now);
+    void settle(const std::string &account, std::uint32_t returned, std::uint32_t charged);
 
 private:
     struct HeldCap
--- a/logic/accounts/account_caps.cpp
+++ b/logic/accounts/account_caps.cpp
@@ -273,7 +273,7 @@
     const bool isCharged = answer.kind == TokenAnswer::Kind::Refused && *decision.isServed
             && now <= decision.answersDueAt;
     if (from.empty()) {
-        this->holder.settle(decision.account, isReturned ? 1 : 0, isCharged ? 1 : 0, now);
+        this->holder.settle(decision.account, isReturned ? 1 : 0, isCharged ? 1 : 0);
     } else if (isReturned) {
         this->asks.giveBack(from, decision.account);
     } else if (isCharged) {
--- a/tests/logic/gateway/test_config_confirmation.cpp
+++ b/tests/logic/gateway/test_config_confirmation.cpp
@@ -34,11 +34,15 @@
     return settings;
 }
 
+/// The history of a store that was restored from a copy once.
+constexpr std::uint64_t restoredHistory = 2;
+
 /// Answers the read of the store with configuration 4 and two members.
-void readOldCopy(GatewayHarness &harness)
+void readStore(GatewayHarness &harness, std::uint64_t history)
 {
     StoreAnswer answer;
     answer.status = StoreCallStatus::Done;
+    answer.history = history;
     answer.revision = 3;
     answer.changes = {GatewayHarness::configChange(config(4), 1),
                       GatewayHarness::targetChange(target("t", "g"), 2),
@@ -47,10 +51,16 @@
     REQUIRE(harness.answerStore<ReadStore>(answer));
 }
 
+void readOldCopy(GatewayHarness &harness)
+{
+    readStore(harness, restoredHistory);
+}
+
 StoreUpdateReceived fullState(std::uint64_t version)
 {
     StoreUpdateReceived state {member, {0, 3, {}}};
     state.update.isFullState = true;
+    state.update.history = restoredHistory;
     state.update.changes = {GatewayHarness::configChange(config(version), version),
                             GatewayHarness::targetChange(target("t", "g"), 2),
                             GatewayHarness::memberChange("b", member),
@@ -115,6 +125,21 @@
     CHECK(statusWith(harness, newKey) == 200);
 }
 
+// Guards against refusals by all instances that start together. A store that was never restored has
+// the newest configuration that was acknowledged.
+TEST_CASE("confirmation: what a store tells that was never restored needs no confirmation")
+{
+    for (const std::uint64_t history : {0U, 1U}) {
+        GatewayHarness harness(restartedSettings());
+        readStore(harness, history);
+        CHECK(harness.gateway.isReady());
+        CHECK(statusWith(harness, oldKey) == 200);
+        // A member may still tell of a newer version.
+        harness.apply(reportOf(member, 5));
+        CHECK(statusWith(harness, oldKey) == 503);
+    }
+}
+
 // Guards against the configuration of a stale seed while the store is down.
 TEST_CASE("confirmation: the configuration of a stale seed admits no request while others reply")
 {
