--- a/tests/logic/gateway/test_partial_state.cpp
+++ b/tests/logic/gateway/test_partial_state.cpp
@@ -94,8 +94,7 @@
     CHECK(reply.isPartialState);
     CHECK(reply.changes.size() < 20);
     asking.apply(StoreUpdateReceived {"127.0.0.1:7001", reply});
-    const StoreUpdate next = replyOf(member, stateRequestOf(asking));
-    CHECK(next.buckets.empty());
+    CHECK(stateRequestOf(asking).bucketDigests == stateRequestOf(member).bucketDigests);
 }
 
 TEST_CASE("a newer configuration is sent, and one that is in force is not")
