--- a/logic/gateway/store_sync.h
+++ b/logic/gateway/store_sync.h
@@ -141,6 +141,9 @@
     /// Sends another member's update on to this instance's children in the relay tree.
     void relay(const StoreUpdate &update, GatewayContext &context);
     void applyFullState(const StoreUpdate &update, GatewayContext &context);
+    /// Requests from the sender of an update what was missed before it. Waiting for the next call
+    /// to the store would take seconds.
+    void requestMissedChanges(const StoreUpdateReceived &event, GatewayContext &context);
     /// Requests the state from a member that has a newer configuration in force than this instance
     /// although both know the same of the store.
     void requestNewerConfig(const StoreUpdateReceived &event, GatewayContext &context);
@@ -199,6 +202,10 @@
     /// older one.
     StoreChange configInForce;
     Instant configRequestAt {};
+    /// Whether an update showed that changes before it were missed, and when they may be requested
+    /// again.
+    bool hasMissedChanges = false;
+    Instant missedRequestAt {};
     std::vector<QuarantineRecord> quarantines;
     WithdrawnTargets withdrawnTargets;
     /// Targets whose entry is missing in the store, and when they are dropped.
--- a/logic/gateway/store_sync_members.cpp
+++ b/logic/gateway/store_sync_members.cpp
@@ -186,10 +186,12 @@
         || update.fromRevision > this->position.revision
         || update.toRevision < this->position.revision) {
         // Changes in between were missed, or the sender knows less than this instance.
+        this->requestMissedChanges(event, context);
         return;
     }
     this->removalGraceUntil = std::max(this->removalGraceUntil, context.now + update.removalGrace);
     this->applyNewer(update.changes, context);
+    this->hasMissedChanges = false;
     this->position.revision = update.toRevision;
     this->confirmedAt = context.now;
     if (!this->call && !this->health.isUnavailable() && this->rank() > 0) {
@@ -199,6 +201,23 @@
     this->requestNewerConfig(event, context);
 }
 
+void StoreSync::requestMissedChanges(const StoreUpdateReceived &event, GatewayContext &context)
+{
+    const bool isGap = !this->fullRead && event.update.history == this->position.history
+            && event.update.fromRevision > this->position.revision;
+    if (!isGap || context.now < this->missedRequestAt) {
+        return;
+    }
+    this->hasMissedChanges = true;
+    this->missedRequestAt = context.now + stateRequestInterval;
+    auto request = std::make_shared<StoreUpdate>();
+    request->isStateRequest = true;
+    request->history = this->position.history;
+    request->toRevision = this->position.revision;
+    this->describeState(*request);
+    context.emit(SendStoreUpdate {{event.sender}, std::move(request)});
+}
+
 void StoreSync::requestNewerConfig(const StoreUpdateReceived &event, GatewayContext &context)
 {
     if (event.update.configVersion <= this->configVersion()
@@ -266,8 +285,8 @@
 void StoreSync::applyFullState(const StoreUpdate &update, GatewayContext &context)
 {
     const StorePosition end {update.history, update.toRevision};
-    const bool needsState = !this->targetsKnown || this->health.isUnavailable();
-    if (!needsState || end < this->position) {
+    const bool isStoreAway = !this->targetsKnown || this->health.isUnavailable();
+    if ((!isStoreAway && !this->hasMissedChanges) || end < this->position) {
         for (const StoreChange &change : update.changes) {
             if (change.kind == StoreKeyKind::Config) {
                 this->applyConfig(change, context);
@@ -301,11 +320,14 @@
     this->position = end;
     this->confirmedAt = context.now;
     this->removeUnlisted(listedKeys, context);
+    this->hasMissedChanges = false;
     const Instant previousCallAt = this->nextCallAt;
     this->finishFullRead(context);
     // The store is called as scheduled before; state requests go on until it answers.
     this->nextCallAt = previousCallAt;
-    this->stateRequestAt = context.now + stateRequestInterval;
+    if (isStoreAway) {
+        this->stateRequestAt = context.now + stateRequestInterval;
+    }
 }
 
 void StoreSync::answerStateRequest(const StoreUpdateReceived &event, GatewayContext &context)
--- a/tests/logic/gateway/test_partial_state.cpp
+++ b/tests/logic/gateway/test_partial_state.cpp
@@ -118,3 +118,35 @@
     CHECK_FALSE(reply.isPartialState);
     CHECK(reply.changes.size() >= 43);
 }
+
+// Guards against an instance that misses one update and ignores the next ones for seconds, until it
+// calls the store itself (DRAIN and a late configuration in a hunted day).
+TEST_CASE("an instance that missed an update gets the difference from the sender of the next one")
+{
+    GatewayHarness asking = requester();
+    GatewayHarness member = requester();
+    StoreChange removal = GatewayHarness::removal("t7");
+    member.answerWatch({removal});
+    member.answerWatch({GatewayHarness::configChange(versionOf(6), 905)});
+    StoreUpdate missedOne;
+    missedOne.fromRevision = asking.revision + 1;
+    missedOne.toRevision = asking.revision + 2;
+    missedOne.origin = InstanceId("b");
+    asking.updates.clear();
+    asking.apply(StoreUpdateReceived {"127.0.0.1:7001", missedOne});
+    const auto request = std::ranges::find_if(asking.updates, [](const SendStoreUpdate &update) {
+        return update.update->isStateRequest;
+    });
+    REQUIRE(request != asking.updates.end());
+    CHECK(request->receivers == std::vector<std::string> {"127.0.0.1:7001"});
+    asking.apply(StoreUpdateReceived {"127.0.0.1:7001", replyOf(member, *request->update)});
+    asking.advance(milliseconds(1));
+    CHECK(asking.gateway.status(asking.now).targets == 39);
+    CHECK(asking.gateway.status(asking.now).configVersion == 6);
+    // A reply that nobody asked for does not replace what the store told.
+    StoreUpdate unasked;
+    unasked.isFullState = true;
+    unasked.toRevision = asking.revision + 9;
+    asking.apply(StoreUpdateReceived {"127.0.0.1:7001", unasked});
+    CHECK(asking.gateway.status(asking.now).targets == 39);
+}
