Read control signals from a descriptor instead of interrupting threads

Cause: the signal handlers belonged to the process and no thread blocked the signals. With one signal pending at the main thread, or with the process stopped, the kernel gave the other one to the thread of the peer messages. It interrupted zmq::poll(), which throws on EINTR.

Change: the signals are blocked before there is any other thread, and the event loop reads them from a descriptor. No call of any thread can be interrupted and no signal is lost, whenever it comes. They stay blocked during the exit, where a second SIGTERM used to end a process that had stopped gracefully. lagoondeck-standin does the same. Tests send their signals to the process, as the platform does, instead of to one thread.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -28,7 +28,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-/// Also the maximum time until a signal is noticed.
 constexpr Duration maxPollTimeout = std::chrono::milliseconds(100);
 /// How often the timeouts of connections are checked.
 constexpr Duration timeoutCheckInterval = std::chrono::milliseconds(100);
@@ -174,11 +173,14 @@
 
 leaf::result<void> GatewayNode::run(ProcessSignals &signals, const std::function<void()> &reload)
 {
+    signals.receive();
     if (signals.isStopRequested()) {
         // No caller could have connected.
         return {};
     }
     BOOST_LEAF_CHECK(this->listen());
+    this->loop.add(signals.wakeSocket(), Poco::Net::PollSet::POLL_READ,
+                   [&signals](int) { signals.receive(); });
     this->lastIterationAt = monotonicNow();
     this->log({LogEvent::Started,
                {{"callers", this->settings.callerAddress},
@@ -190,6 +192,7 @@
             this->runIteration(signals, reload);
         }
     } while (!this->stopListening());
+    this->loop.remove(signals.wakeSocket());
     this->logStopped();
     this->jsonLog.flushAll();
     return {};
--- a/main/lagoondeck_standin_main.cpp
+++ b/main/lagoondeck_standin_main.cpp
@@ -1,4 +1,5 @@
 #include "core/errors.h"
+#include "core/os/process_signals.h"
 #include "standins/event_loop.h"
 #include "standins/instance_service.h"
 #include "standins/store_service.h"
@@ -7,7 +8,6 @@
 
 #include <Poco/Exception.h>
 #include <boost/leaf/handle_errors.hpp>
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <getopt.h>
@@ -51,13 +51,6 @@
     std::optional<std::uint64_t> seed;
 };
 
-EventLoop *loopToStop = nullptr;
-
-void onSignal(int)
-{
-    loopToStop->stop();
-}
-
 Options readOptions(int argc, char **argv)
 {
     constexpr option longOptions[] = {{"topology", required_argument, nullptr, 't'},
@@ -176,12 +169,16 @@
 
 int main(int argc, char **argv)
 {
+    // Comes first, because a signal may arrive while the topology is read.
+    ProcessSignals signals;
     const Options options = readOptions(argc, argv);
     EventLoop loop;
-    loopToStop = &loop;
-    std::signal(SIGTERM, onSignal);
-    std::signal(SIGINT, onSignal);
-    std::signal(SIGPIPE, SIG_IGN);
+    loop.watch(signals.wakeSocket(), Poco::Net::PollSet::POLL_READ, [&](int) {
+        signals.receive();
+        if (signals.isStopRequested()) {
+            loop.stop();
+        }
+    });
     try {
         if (options.kind == "targets") {
             runTargets(loop, options);
--- a/main/lagoondeckd_main.cpp
+++ b/main/lagoondeckd_main.cpp
@@ -125,7 +125,10 @@
     }
     startLog(settings.logDirectory, program);
     EntryNode node(settings);
-    BOOST_LEAF_AUTO(result, node.run([&signals] { return signals.isStopRequested(); }));
+    BOOST_LEAF_AUTO(result, node.run([&signals] {
+        signals.receive();
+        return signals.isStopRequested();
+    }));
     return result == RunResult::Graceful ? exitOk : exitInvariantViolated;
 }
 
--- a/tests/drivers_edge/gateway_node_fixture.h
+++ b/tests/drivers_edge/gateway_node_fixture.h
@@ -8,6 +8,8 @@
 #include "tests/support/free_addresses.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -94,10 +96,13 @@
 
     void stop()
     {
-        std::raise(SIGTERM);
+        sendSignal(SIGTERM);
         this->thread.join();
     }
 
+    /// Sends a signal to the process, as the platform does.
+    static void sendSignal(int number) { kill(getpid(), number); }
+
     int readyStatus()
     {
         try {
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -187,7 +187,7 @@
     CallReply reply;
     std::thread caller([&] { reply = fixture.call("/one/slow", "s1"); });
     std::this_thread::sleep_for(200ms);
-    std::raise(SIGTERM);
+    fixture.sendSignal(SIGTERM);
     std::this_thread::sleep_for(200ms);
     CHECK(fixture.readyStatus() == 503);
     caller.join();
--- a/tests/drivers_edge/test_graceful_stop.cpp
+++ b/tests/drivers_edge/test_graceful_stop.cpp
@@ -136,7 +136,7 @@
 TEST_CASE("the first request of a connection is read although it comes late in a stop")
 {
     GatewayFixture fixture;
-    std::raise(SIGTERM);
+    fixture.sendSignal(SIGTERM);
     std::this_thread::sleep_for(2500ms);
     RawCaller caller(fixture.settings.callerAddress);
     REQUIRE(caller.isConnected());
@@ -163,7 +163,7 @@
         views[1] = caller.call("/one/x", "during");
     });
     std::this_thread::sleep_for(50ms);
-    std::raise(SIGTERM);
+    fixture.sendSignal(SIGTERM);
     before.join();
     during.join();
     for (const CallerView &view : views) {
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -36,6 +36,9 @@
     for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGPIPE}) {
         ::signal(number, SIG_DFL);
     }
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, logFileMode);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
