Keep an exception on a thread from ending the process

Reading the related paths showed the same at the event loops, the workers of the store, the workers of the load tool, and in an error of lagoondeckctl that names bytes that are not UTF-8 (abort, exit 134).

Change: StepGuard runs the steps of a thread. An exception ends the step, is counted (lagoondeck_failed_steps_total) and logged (111), and the thread goes on. A request whose event failed is answered 500. A failed wake-up of the event loop no longer keeps later ones from being sent. All programs report what reaches main() and exit with their code for it.

--- a/bench/balancer.cpp
+++ b/bench/balancer.cpp
@@ -4,6 +4,8 @@
 #include "core/instance_list_codec.h"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <exception>
+#include <iostream>
 
 namespace lagoondeck {
 
@@ -91,7 +93,14 @@
 {
     while (!this->stopping) {
         std::this_thread::sleep_for(refreshInterval);
-        this->refresh();
+        try {
+            this->refresh();
+        } catch (const std::exception &error) {
+            // The instances of the last refresh stay in use.
+            std::cerr << "load: " << ++this->failedRefreshes
+                      << " failed refreshes of the instances, the last one: " << error.what()
+                      << "\n";
+        }
     }
 }
 
--- a/bench/balancer.h
+++ b/bench/balancer.h
@@ -47,6 +47,7 @@
     std::vector<std::shared_ptr<EntryPool>> readyPools;
     std::atomic<std::uint64_t> nextPool = 0;
     std::atomic<bool> stopping = false;
+    std::uint64_t failedRefreshes = 0;
     std::thread watcher;
 };
 
--- a/bench/entry_pool.cpp
+++ b/bench/entry_pool.cpp
@@ -34,9 +34,10 @@
 
 SendResult EntryPool::send(const std::string &path, const std::string &body, Duration timeout)
 {
-    std::unique_ptr<Session> session = this->acquire();
+    std::unique_ptr<Session> session;
     SendResult result;
     try {
+        session = this->acquire();
         session->setTimeout(Poco::Timespan(timeout.count()));
         Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, path,
                                        Poco::Net::HTTPMessage::HTTP_1_1);
@@ -57,6 +58,9 @@
     } catch (const Poco::Exception &error) {
         result.problem = error.className();
         session.reset();
+    } catch (const std::exception &error) {
+        result.problem = error.what();
+        session.reset();
     }
     this->release(std::move(session));
     return result;
--- a/bench/http_call.cpp
+++ b/bench/http_call.cpp
@@ -38,6 +38,8 @@
         return leaf::new_error(CallFailed {address, "connection refused", false});
     } catch (const Poco::Exception &error) {
         return leaf::new_error(CallFailed {address, error.displayText(), true});
+    } catch (const std::exception &error) {
+        return leaf::new_error(CallFailed {address, error.what(), true});
     }
 }
 
--- a/bench/load_runner.cpp
+++ b/bench/load_runner.cpp
@@ -3,6 +3,7 @@
 #include "bench/answer_check.h"
 
 #include <algorithm>
+#include <exception>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -62,7 +63,15 @@
 {
     for (std::size_t index = this->next++; index < this->arrivals.size(); index = this->next++) {
         std::this_thread::sleep_until(this->start + this->arrivals[index].at);
-        this->sendOne(index);
+        try {
+            this->sendOne(index);
+        } catch (const std::exception &error) {
+            // Counted by its reason like any other request without a reply.
+            this->records[index] = {ObservedOutcome::NoReply,
+                                    std::string("client-exception: ") + error.what()};
+            std::cerr << "load: request " << this->arrivals[index].requestId << ": " << error.what()
+                      << "\n";
+        }
         ++this->done;
     }
 }
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -19,6 +19,8 @@
          "The graceful stop reached its time limit with work left."},
         {LogEvent::InvariantViolated, "InvariantViolated", LogSeverity::Error,
          "An invariant was violated; the fields name it."},
+        {LogEvent::StepFailed, "StepFailed", LogSeverity::Error,
+         "An exception ended a step of a thread; the thread goes on with the next step."},
         {LogEvent::SettingsRefused, "SettingsRefused", LogSeverity::Error,
          "The settings file has invalid settings; each of them is listed."},
         {LogEvent::SettingsReloaded, "SettingsReloaded", LogSeverity::Info,
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -19,6 +19,7 @@
     Stopped = 102,
     StopBoundPassed = 103,
     InvariantViolated = 110,
+    StepFailed = 111,
     SettingsRefused = 120,
     SettingsReloaded = 121,
     CatalogueRevised = 200,
--- a/core/os/inbox.cpp
+++ b/core/os/inbox.cpp
@@ -23,9 +23,16 @@
 
 void Inbox::wake()
 {
-    if (!this->wakeSent.exchange(true)) {
-        const char byte = 1;
+    if (this->wakeSent.exchange(true)) {
+        return;
+    }
+    const char byte = 1;
+    try {
         this->socket.sendBytes(&byte, 1);
+    } catch (...) {
+        // Otherwise no later event would wake the loop.
+        this->wakeSent = false;
+        throw;
     }
 }
 
--- a/drivers/caller_handler.cpp
+++ b/drivers/caller_handler.cpp
@@ -3,6 +3,7 @@
 #include "core/errors.h"
 #include "drivers/caller_codec.h"
 #include "drivers/pending_answers.h"
+#include "drivers/step_guard.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -106,15 +107,27 @@
 } // namespace
 
 CallerHandler::CallerHandler(PendingAnswers &pending, const CallerServerHooks &hooks,
-                             std::atomic<std::uint32_t> &activeRequests,
+                             std::atomic<std::uint32_t> &activeRequests, StepGuard &guard,
                              std::uint64_t maximumBodyBytes)
-    : pending(pending), hooks(hooks), activeRequests(activeRequests),
+    : pending(pending), hooks(hooks), activeRequests(activeRequests), guard(guard),
       maximumBodyBytes(maximumBodyBytes)
 { }
 
 void CallerHandler::handleRequest(HTTPServerRequest &request, HTTPServerResponse &response)
 {
-    const ActiveRequestGuard guard(this->activeRequests);
+    const ActiveRequestGuard activeRequest(this->activeRequests);
+    if (!this->guard.run([&] { this->handleOrRefuse(request, response); })) {
+        this->guard.run([&] {
+            response.setKeepAlive(false);
+            if (!response.sent()) {
+                this->reply(response, HTTPResponse::HTTP_INTERNAL_SERVER_ERROR, "{}");
+            }
+        });
+    }
+}
+
+void CallerHandler::handleOrRefuse(HTTPServerRequest &request, HTTPServerResponse &response)
+{
     try {
         this->route(request, response);
     } catch (const Poco::SyntaxException &) {
--- a/drivers/caller_handler.h
+++ b/drivers/caller_handler.h
@@ -14,12 +14,15 @@
 {
 public:
     CallerHandler(PendingAnswers &pending, const CallerServerHooks &hooks,
-                  std::atomic<std::uint32_t> &activeRequests, std::uint64_t maximumBodyBytes);
+                  std::atomic<std::uint32_t> &activeRequests, StepGuard &guard,
+                  std::uint64_t maximumBodyBytes);
 
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override;
 
 private:
+    void handleOrRefuse(Poco::Net::HTTPServerRequest &request,
+                        Poco::Net::HTTPServerResponse &response);
     void route(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void query(const std::string &entry, Poco::Net::HTTPServerRequest &request,
                Poco::Net::HTTPServerResponse &response);
@@ -33,6 +36,7 @@
     PendingAnswers &pending;
     const CallerServerHooks &hooks;
     std::atomic<std::uint32_t> &activeRequests;
+    StepGuard &guard;
     std::uint64_t maximumBodyBytes;
 };
 
--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -41,8 +41,8 @@
 } // namespace
 
 CallerServer::CallerServer(const Settings &settings, PendingAnswers &pending,
-                           CallerServerHooks hooks)
-    : pending(pending), hooks(std::move(hooks))
+                           CallerServerHooks hooks, StepGuard &guard)
+    : pending(pending), hooks(std::move(hooks)), guard(guard)
 {
     const int threadCount = static_cast<int>(settings.callerThreads);
     this->threads =
@@ -56,7 +56,8 @@
     parameters->setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
     const std::uint64_t maxBodyBytes = settings.maximumBodyBytes;
     Poco::SharedPtr<HandlerFactory> factory = new HandlerFactory([this, maxBodyBytes] {
-        return new CallerHandler(this->pending, this->hooks, this->activeRequests, maxBodyBytes);
+        return new CallerHandler(this->pending, this->hooks, this->activeRequests, this->guard,
+                                 maxBodyBytes);
     });
     const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(settings.httpAddress), 1024);
     this->server =
--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -18,6 +18,7 @@
 namespace lagoondeck {
 
 class PendingAnswers;
+class StepGuard;
 struct Settings;
 
 /// Callbacks from the caller server to the entry instance. Each may be called from any thread.
@@ -34,7 +35,9 @@
 class CallerServer
 {
 public:
-    CallerServer(const Settings &settings, PendingAnswers &pending, CallerServerHooks hooks);
+    /// The guard runs the requests.
+    CallerServer(const Settings &settings, PendingAnswers &pending, CallerServerHooks hooks,
+                 StepGuard &guard);
     ~CallerServer();
 
     /// Returns the number of requests that are being read, processed or answered.
@@ -45,6 +48,7 @@
 private:
     PendingAnswers &pending;
     CallerServerHooks hooks;
+    StepGuard &guard;
     std::atomic<std::uint32_t> activeRequests {0};
     std::unique_ptr<Poco::ThreadPool> threads;
     std::unique_ptr<Poco::Net::HTTPServer> server;
--- a/drivers/edge/edge_loop.cpp
+++ b/drivers/edge/edge_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/os/clock.h"
 
+#include <exception>
 #include <utility>
 
 namespace lagoondeck {
@@ -34,14 +35,22 @@
     const auto ready = this->pollSet.poll(Poco::Timespan(rounded.count()));
     this->arrivals.onWaited(calledAt, rounded, monotonicNow());
     ++this->waits;
+    std::exception_ptr failure;
     for (const auto &[socket, mode] : ready) {
         const auto found = this->handlers.find(socket.impl());
         if (found != this->handlers.end()) {
             // Copied, because the handler may remove itself.
             const Handler handler = found->second;
-            handler(mode);
+            try {
+                handler(mode);
+            } catch (...) {
+                failure = failure ? failure : std::current_exception();
+            }
         }
     }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
 }
 
 } // namespace lagoondeck
--- a/drivers/edge/edge_loop.h
+++ b/drivers/edge/edge_loop.h
@@ -24,7 +24,8 @@
     void add(const Poco::Net::Socket &socket, int mode, Handler handler);
     void update(const Poco::Net::Socket &socket, int mode);
     void remove(const Poco::Net::Socket &socket);
-    /// Waits for ready sockets, at most for the given time, and calls their handlers.
+    /// Waits for ready sockets, at most for the given time, and calls their handlers. If handlers
+    /// throw, the first exception is thrown after all of them were called.
     void poll(Duration wait);
     /// Returns when the latest wait for sockets ended.
     Instant wokeAt() const { return this->arrivals.wokeAt(); }
--- a/drivers/edge/gateway_metrics.cpp
+++ b/drivers/edge/gateway_metrics.cpp
@@ -194,6 +194,11 @@
     writeCounter(writer, "lagoondeck_target_replies_evicted_total",
                  "Replies of targets that were given up because all together held too much.",
                  counts.repliesEvicted);
+    writer.begin("lagoondeck_failed_steps_total", MetricKind::Counter,
+                 "Steps of a thread that an exception ended, by thread.");
+    for (const auto &[thread, count] : counts.failedSteps) {
+        writer.sample({{"thread", thread}}, count);
+    }
     writeCounter(writer, "lagoondeck_store_calls_total", "Calls to the store.", counts.storeCalls);
     writeCounter(writer, "lagoondeck_target_connections_opened_total",
                  "Connections made to targets.", counts.connectionsOpened);
--- a/drivers/edge/gateway_metrics.h
+++ b/drivers/edge/gateway_metrics.h
@@ -25,6 +25,8 @@
     std::uint64_t callerBytes = 0;
     EvictionCounts evictions;
     std::uint64_t repliesEvicted = 0;
+    /// Steps that an exception ended, by thread.
+    std::map<std::string, std::uint64_t> failedSteps;
 };
 
 /// Metrics of the exchanges, by route. The number of routes is limited; further routes are counted
--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -27,6 +27,7 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
+constexpr int statusInternalError = 500;
 constexpr int statusUnavailable = 503;
 constexpr Duration maxPollTimeout = std::chrono::milliseconds(100);
 /// How often the timeouts of connections are checked.
@@ -189,7 +190,7 @@
     this->pendingEvents.push_back(GatewayStarted {});
     do {
         while (!this->canExit(monotonicNow())) {
-            this->runIteration(signals, reload);
+            this->guard.runRepeated([&] { this->runIteration(signals, reload); });
         }
     } while (!this->stopListening());
     this->loop.remove(signals.wakeSocket());
@@ -317,9 +318,31 @@
         const GatewayEvent event = std::move(this->pendingEvents.front());
         this->pendingEvents.pop_front();
         this->appliedAt = monotonicNow();
-        for (GatewayEffect &effect : this->gateway.apply(event, this->appliedAt)) {
-            std::visit([this](auto &body) { this->execute(body); }, effect);
+        std::vector<GatewayEffect> effects;
+        if (!this->guard.run([&] { effects = this->gateway.apply(event, this->appliedAt); })) {
+            this->answerFailedEvent(event);
         }
+        for (GatewayEffect &effect : effects) {
+            this->guard.run(
+                    [&] { std::visit([this](auto &body) { this->execute(body); }, effect); });
+        }
+    }
+}
+
+void GatewayNode::answerFailedEvent(const GatewayEvent &event)
+{
+    const auto *arrived = std::get_if<RequestArrived>(&event);
+    const auto found =
+            arrived == nullptr ? this->exchanges.end() : this->exchanges.find(arrived->exchange);
+    if (found == this->exchanges.end()) {
+        return;
+    }
+    const std::uint64_t id = found->second.connection;
+    this->exchanges.erase(found);
+    this->exchangeByConnection.erase(id);
+    if (ServerConnection *connection = this->callerListener->find(id)) {
+        connection->answer(wire::writePlainReply(statusInternalError, "the request failed", true),
+                           true, monotonicNow());
     }
 }
 
@@ -415,7 +438,9 @@
             this->jsonLog.droppedLineCount(),
             this->callerListener->heldBytes(),
             this->callerListener->evictions(),
-            this->targets.repliesEvicted()};
+            this->targets.repliesEvicted(),
+            {{this->guard.name(), this->guard.failures()},
+             {this->peers.stepGuard().name(), this->peers.stepGuard().failures()}}};
 }
 
 void GatewayNode::onControlRequest(ServerConnection &connection, const HttpMessage &message)
--- a/drivers/edge/gateway_node.h
+++ b/drivers/edge/gateway_node.h
@@ -13,6 +13,7 @@
 #include "drivers/edge/store_link.h"
 #include "drivers/edge/target_links.h"
 #include "drivers/peer_socket.h"
+#include "drivers/step_guard.h"
 #include "logic/gateway/gateway.h"
 #include "logic/workload/connection_bounds.h"
 
@@ -64,6 +65,8 @@
     /// Logs what the stop leaves unfinished.
     void logStopped();
     void applyPendingEvents();
+    /// Answers a request whose event could not be applied.
+    void answerFailedEvent(const GatewayEvent &event);
     Duration pollTimeout(Instant now) const;
 
     void onCallerRequest(ServerConnection &connection, HttpMessage message);
@@ -108,6 +111,7 @@
     GatewaySettings settings;
     MachineShares shares;
     JsonLog jsonLog;
+    StepGuard guard {"main", [this](const WriteLog &entry) { this->log(entry); }};
     GatewayMetrics metrics;
     Gateway gateway;
     EdgeLoop loop;
--- a/drivers/entry_node.cpp
+++ b/drivers/entry_node.cpp
@@ -8,6 +8,7 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <array>
 #include <boost/leaf/error.hpp>
 #include <utility>
 #include <variant>
@@ -27,7 +28,8 @@
 } // namespace
 
 EntryNode::EntryNode(Settings settings)
-    : settings(std::move(settings)), reducer(this->settings, Policy::of(this->settings.policy)),
+    : settings(std::move(settings)), guard("main", writeLog), callerGuard("callers", writeLog),
+      reducer(this->settings, Policy::of(this->settings.policy)),
       targets(this->pollSet, this->settings.id,
               [this](EventBody body) { this->pendingEvents.push_back(std::move(body)); })
 { }
@@ -52,8 +54,13 @@
 
 std::string EntryNode::metricsText()
 {
-    const DriverCounts counts {this->store->counts(), this->peers->traffic(),
-                               this->instances->calls()};
+    DriverCounts counts {this->store->counts(), this->peers->traffic(), this->instances->calls()};
+    const std::array<const StepGuard *, 5> guards {
+            &this->guard, &this->callerGuard, &this->peers->stepGuard(), &this->store->stepGuard(),
+            &this->instances->stepGuard()};
+    for (const StepGuard *steps : guards) {
+        counts.failedSteps[steps->name()] = steps->failures();
+    }
     return this->metrics.text(this->requestStatus().value_or(NodeStatus {}), counts);
 }
 
@@ -64,12 +71,12 @@
     this->peers = std::make_unique<PeerSocket>(this->settings.peerAddress, this->settings.peerKey,
                                                post, writeLog);
     BOOST_LEAF_CHECK(this->peers->start());
-    this->store = std::make_unique<StoreClient>(this->settings.storeAddress, post);
+    this->store = std::make_unique<StoreClient>(this->settings.storeAddress, post, writeLog);
     this->instances = std::make_unique<InstanceListPoller>(
             this->settings.instanceListAddress, this->settings.instanceListInterval, post);
     try {
-        this->callers =
-                std::make_unique<CallerServer>(this->settings, this->answers, this->makeHooks());
+        this->callers = std::make_unique<CallerServer>(this->settings, this->answers,
+                                                       this->makeHooks(), this->callerGuard);
     } catch (const Poco::Exception &error) {
         return leaf::new_error(CallFailed {this->settings.httpAddress, error.displayText(), false});
     }
@@ -82,12 +89,11 @@
     this->pendingEvents.push_back(ProcessStarted {});
     writeLog({LogEvent::Started,
               {{"id", this->settings.id.value}, {"http", this->settings.httpAddress}}});
-    try {
-        while (!this->isDrained(monotonicNow())) {
-            this->runOnce(isStopRequested);
-        }
-    } catch (const InvariantViolation &violation) {
-        writeLog({LogEvent::InvariantViolated, {{"rule", violation.what()}}});
+    while (!this->violation && !this->isDrained(monotonicNow())) {
+        this->guard.runRepeated([&] { this->runOnce(isStopRequested); });
+    }
+    if (this->violation) {
+        writeLog({LogEvent::InvariantViolated, {{"rule", this->violation->what()}}});
         return RunResult::InvariantViolated;
     }
     // The other drivers are kept until this object is destroyed, because a request for the metrics
@@ -127,13 +133,34 @@
 
 void EntryNode::applyPendingEvents()
 {
-    while (!this->pendingEvents.empty()) {
+    while (!this->violation && !this->pendingEvents.empty()) {
         const Event event {monotonicNow(), wallNow(), std::move(this->pendingEvents.front())};
         this->pendingEvents.pop_front();
-        for (Effect &effect : this->reducer.apply(event)) {
-            std::visit([this](auto &body) { this->execute(body); }, effect);
+        for (Effect &effect : this->applyEvent(event)) {
+            this->guard.run(
+                    [&] { std::visit([this](auto &body) { this->execute(body); }, effect); });
+        }
+    }
+}
+
+std::vector<Effect> EntryNode::applyEvent(const Event &event)
+{
+    std::vector<Effect> effects;
+    const bool applied = this->guard.run([&] {
+        try {
+            effects = this->reducer.apply(event);
+        } catch (const InvariantViolation &thrown) {
+            this->violation = thrown;
         }
+    });
+    if (const auto *request = std::get_if<CallerRequest>(&event.body); !applied && request) {
+        // The caller waits for an answer, and it is unknown which part of the request was started.
+        Answer answer;
+        answer.outcome = Outcome::Unknown;
+        answer.reason = FailureReason::TargetFailed;
+        this->answers.fulfil(request->query, std::move(answer));
     }
+    return effects;
 }
 
 void EntryNode::pollSockets(Instant now)
--- a/drivers/entry_node.h
+++ b/drivers/entry_node.h
@@ -8,8 +8,10 @@
 #include "drivers/metrics_page.h"
 #include "drivers/peer_socket.h"
 #include "drivers/pending_answers.h"
+#include "drivers/step_guard.h"
 #include "drivers/store_client.h"
 #include "drivers/target_driver.h"
+#include "logic/invariant.h"
 #include "logic/reducer.h"
 
 #include <Poco/Net/PollSet.h>
@@ -51,6 +53,8 @@
     void runOnce(const std::function<bool()> &isStopRequested);
     void collectEvents(Instant now);
     void applyPendingEvents();
+    /// Returns no effects if applying the event failed.
+    std::vector<Effect> applyEvent(const Event &event);
     void pollSockets(Instant now);
     bool isDrained(Instant now);
 
@@ -78,6 +82,8 @@
     std::string metricsText();
 
     Settings settings;
+    StepGuard guard;
+    StepGuard callerGuard;
     Reducer reducer;
     Inbox inbox;
     TimerQueue timers;
@@ -90,6 +96,7 @@
     std::unique_ptr<StoreClient> store;
     std::unique_ptr<InstanceListPoller> instances;
     std::unique_ptr<CallerServer> callers;
+    std::optional<InvariantViolation> violation;
     bool stopPosted = false;
     std::optional<Instant> stopCompletedAt;
     Instant timeoutsCheckedAt {};
--- a/drivers/instance_list_poller.cpp
+++ b/drivers/instance_list_poller.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 InstanceListPoller::InstanceListPoller(const std::string &address, Duration interval, Sink sink)
-    : session(address), interval(interval), sink(std::move(sink))
+    : session(address), interval(interval), sink(std::move(sink)), guard("instances", writeLog)
 {
     this->thread = std::thread([this] { this->run(); });
 }
@@ -50,7 +50,7 @@
 void InstanceListPoller::run()
 {
     do {
-        this->poll();
+        this->guard.run([this] { this->poll(); });
     } while (this->waitForNextPoll());
 }
 
@@ -64,14 +64,11 @@
 void InstanceListPoller::poll()
 {
     ++this->callCount;
+    std::optional<InstanceList> list;
     leaf::try_handle_all(
-            [this]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(list, readList(this->session));
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_ASSIGN(list, readList(this->session));
                 this->setAvailable(true, "");
-                if (this->lastList != list) {
-                    this->lastList = list;
-                    this->sink(InstancesListed {std::move(list)});
-                }
                 return {};
             },
             [this](const CallFailed &failure) { this->setAvailable(false, failure.detail); },
@@ -81,6 +78,10 @@
                 this->setAvailable(false, first.path + ": " + first.detail);
             },
             [this] { this->setAvailable(false, "unknown error"); });
+    if (list && this->lastList != list) {
+        this->sink(InstancesListed {*list});
+        this->lastList = std::move(list);
+    }
 }
 
 void InstanceListPoller::setAvailable(bool nowAvailable, const std::string &detail)
--- a/drivers/instance_list_poller.h
+++ b/drivers/instance_list_poller.h
@@ -3,6 +3,7 @@
 #include "core/instance_list.h"
 #include "core/time.h"
 #include "drivers/platform_session.h"
+#include "drivers/step_guard.h"
 #include "logic/events.h"
 
 #include <atomic>
@@ -31,6 +32,7 @@
 
     /// Returns the number of reads of the instance list since the start.
     std::uint64_t calls() const { return this->callCount; }
+    const StepGuard &stepGuard() const { return this->guard; }
 
 private:
     void run();
@@ -41,6 +43,7 @@
     PlatformSession session;
     Duration interval;
     Sink sink;
+    StepGuard guard;
     std::optional<InstanceList> lastList;
     bool available = true;
     std::atomic<std::uint64_t> callCount = 0;
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -87,6 +87,15 @@
     writer.sample({}, std::chrono::duration<double>(peers.processorTime).count());
 }
 
+void writeFailedSteps(ExpositionWriter &writer, const DriverCounts &counts)
+{
+    writer.begin("lagoondeck_failed_steps_total", MetricKind::Counter,
+                 "Steps of a thread that an exception ended, by thread.");
+    for (const auto &[thread, count] : counts.failedSteps) {
+        writer.sample({{"thread", thread}}, count);
+    }
+}
+
 void writeProcess(ExpositionWriter &writer)
 {
     rusage usage {};
@@ -115,6 +124,7 @@
     writeStatus(writer, status);
     writeStore(writer, counts);
     writePeers(writer, counts.peers);
+    writeFailedSteps(writer, counts);
     writeProcess(writer);
     return writer.text();
 }
--- a/drivers/metrics_page.h
+++ b/drivers/metrics_page.h
@@ -7,6 +7,7 @@
 #include "logic/node_status.h"
 
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <string>
 
@@ -18,6 +19,8 @@
     StoreCallCounts store;
     PeerTraffic peers;
     std::uint64_t instanceListCalls = 0;
+    /// Steps that an exception ended, by thread.
+    std::map<std::string, std::uint64_t> failedSteps;
 };
 
 /// Collects metrics and writes the text of GET /metrics. The event loop records answers; any thread
--- a/drivers/peer_socket.cpp
+++ b/drivers/peer_socket.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/leaf/error.hpp>
+#include <cerrno>
 #include <ctime>
 #include <pthread.h>
 #include <string_view>
@@ -69,6 +70,18 @@
     socket.set(zmq::sockopt::handshake_ivl, handshakeTimeout);
 }
 
+/// Waits until an event arrives, the time is over or a signal interrupts the wait.
+void waitForEvents(std::vector<zmq::pollitem_t> &items, std::chrono::milliseconds timeout)
+{
+    try {
+        zmq::poll(items, timeout);
+    } catch (const zmq::error_t &error) {
+        if (error.num() != EINTR) {
+            throw;
+        }
+    }
+}
+
 /// Lets the operating system notice a connection that has fallen silent without a reset.
 void setSilenceTimeouts(zmq::socket_t &socket)
 {
@@ -83,7 +96,7 @@
 
 PeerSocket::PeerSocket(std::string bindAddress, std::string peerKey, Sink sink, LogSink logSink)
     : bindAddress(std::move(bindAddress)), secretKey(std::move(peerKey)), sink(std::move(sink)),
-      logSink(std::move(logSink))
+      logSink(std::move(logSink)), guard("peers", this->logSink)
 { }
 
 PeerSocket::~PeerSocket()
@@ -163,18 +176,25 @@
 
 void PeerSocket::wake()
 {
-    this->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait);
+    // Without the message, the thread finds the queue when its poll times out.
+    this->guard.run(
+            [this] { (void)this->wakeSender.send(zmq::message_t(), zmq::send_flags::dontwait); });
 }
 
 void PeerSocket::run()
 {
     pthread_setname_np(pthread_self(), "peers");
     while (!this->stopping) {
-        this->pollOnce();
+        this->guard.runRepeated([this] { this->pollOnce(); });
         const std::lock_guard lock(this->trafficMutex);
         this->counts.processorTime = threadProcessorTime();
     }
-    this->sendQueued();
+    this->guard.run([this] { this->sendQueued(); });
+    this->guard.run([this] { this->closeSockets(); });
+}
+
+void PeerSocket::closeSockets()
+{
     for (auto &[address, link] : this->links) {
         link.zmqSocket().set(zmq::sockopt::linger, stopLingerMs);
     }
@@ -194,7 +214,7 @@
             queuedLinks.push_back(&link);
         }
     }
-    zmq::poll(items, queuedLinks.empty() ? pollTimeout : queuedPollTimeout);
+    waitForEvents(items, queuedLinks.empty() ? pollTimeout : queuedPollTimeout);
     const Instant now = monotonicNow();
     for (PeerLink *link : queuedLinks) {
         const std::size_t dropped = link->flush(now);
@@ -226,7 +246,8 @@
             more = excess.more();
         }
         if (complete) {
-            this->receiveOne(payload);
+            // A message that can't be processed does not hold up the next ones.
+            this->guard.run([&] { this->receiveOne(payload); });
         } else {
             this->recordRefusedMessage("not exactly one message part");
         }
@@ -259,7 +280,10 @@
         outgoingMessages.swap(this->queue);
     }
     for (const Outgoing &outgoing : outgoingMessages) {
-        this->sendOne(outgoing);
+        if (!this->guard.run([&] { this->sendOne(outgoing); })) {
+            const std::lock_guard lock(this->trafficMutex);
+            this->counts.dropped += 1;
+        }
     }
 }
 
--- a/drivers/peer_socket.h
+++ b/drivers/peer_socket.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "drivers/peer_link.h"
 #include "drivers/peer_traffic.h"
+#include "drivers/step_guard.h"
 #include "logic/effects.h"
 #include "logic/events.h"
 
@@ -27,7 +28,7 @@
 {
 public:
     using Sink = std::function<void(EventBody)>;
-    using LogSink = std::function<void(const WriteLog &)>;
+    using LogSink = StepGuard::LogSink;
 
     /// The key is a Z85 secret key of 40 characters that all members share. With an empty key,
     /// messages are not encrypted, which is meant for tests on one machine. Sinks are called on the
@@ -50,6 +51,7 @@
     /// Returns the bound address, with the actual port when port 0 was configured.
     const std::string &boundAddress() const { return this->boundEndpoint; }
     PeerTraffic traffic() const;
+    const StepGuard &stepGuard() const { return this->guard; }
 
 private:
     struct Outgoing
@@ -60,6 +62,7 @@
 
     void run();
     void pollOnce();
+    void closeSockets();
     void receiveAll();
     void receiveOne(const zmq::message_t &payload);
     void sendQueued();
@@ -76,6 +79,7 @@
     std::string publicKey;
     Sink sink;
     LogSink logSink;
+    StepGuard guard;
     std::string boundEndpoint;
 
     zmq::context_t context {1};
--- a/drivers/platform_session.cpp
+++ b/drivers/platform_session.cpp
@@ -216,6 +216,10 @@
         return reply;
     } catch (const Poco::Exception &error) {
         return this->closeWithError(error.displayText());
+    } catch (...) {
+        // The connection may still hold the rest of a reply.
+        this->disconnect();
+        throw;
     }
 }
 
@@ -240,6 +244,10 @@
         return this->closeWithError("the stream ended");
     } catch (const Poco::Exception &error) {
         return this->closeWithError(error.displayText());
+    } catch (...) {
+        // The connection may still hold the rest of a reply.
+        this->disconnect();
+        throw;
     }
 }
 
--- a/drivers/store_client.cpp
+++ b/drivers/store_client.cpp
@@ -27,8 +27,8 @@
     std::thread thread;
 };
 
-StoreClient::StoreClient(std::string address, Sink sink)
-    : address(std::move(address)), sink(std::move(sink))
+StoreClient::StoreClient(std::string address, Sink sink, StepGuard::LogSink logSink)
+    : address(std::move(address)), sink(std::move(sink)), guard("store", std::move(logSink))
 {
     for (std::size_t i = 0; i < workerCount; ++i) {
         this->sessions.push_back(std::make_unique<StoreSession>(this->address));
@@ -130,7 +130,7 @@
             next = std::move(this->pending.front());
             this->pending.pop_front();
         }
-        this->runOperation(session, next);
+        this->guard.run([&] { this->runOperation(session, next); });
     }
 }
 
@@ -189,7 +189,7 @@
             [] { return StoreStatus::ReplyLost; });
     --this->openWatches;
     if (!watch.cancelled) {
-        this->report(operation.operation, status, {});
+        this->guard.run([&] { this->report(operation.operation, status, {}); });
     }
     watch.ended = true;
 }
--- a/drivers/store_client.h
+++ b/drivers/store_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "drivers/step_guard.h"
 #include "drivers/store_session.h"
 #include "logic/effects.h"
 #include "logic/events.h"
@@ -40,7 +41,7 @@
 public:
     using Sink = std::function<void(EventBody)>;
 
-    StoreClient(std::string address, Sink sink);
+    StoreClient(std::string address, Sink sink, StepGuard::LogSink logSink = nullptr);
     /// Aborts running calls, ends watches without a report and drops queued calls.
     ~StoreClient();
 
@@ -51,6 +52,7 @@
     void endWatch(StoreOpId operation);
 
     StoreCallCounts counts() const;
+    const StepGuard &stepGuard() const { return this->guard; }
 
 private:
     struct Watch;
@@ -70,6 +72,7 @@
 
     std::string address;
     Sink sink;
+    StepGuard guard;
     std::mutex mutex;
     std::condition_variable wake;
     std::deque<PendingOperation> pending;
--- a/main/lagoondeck_load_main.cpp
+++ b/main/lagoondeck_load_main.cpp
@@ -8,6 +8,7 @@
 #include "bench/target_observations.h"
 #include "core/errors.h"
 #include "core/json_input.h"
+#include "core/os/program.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
@@ -220,9 +221,7 @@
     return exitUsage;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runLoadTool(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const Options options = readOptions(argc, argv);
@@ -252,3 +251,10 @@
                 return exitUnreachable;
             });
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("lagoondeck-load", exitUnreachable, [&] { return runLoadTool(argc, argv); });
+}
--- a/main/lagoondeck_soak_main.cpp
+++ b/main/lagoondeck_soak_main.cpp
@@ -1,3 +1,4 @@
+#include "core/os/program.h"
 #include "tests/support/fault_injector.h"
 #include "tests/support/simulated_cell.h"
 
@@ -92,9 +93,7 @@
     return simulation.violations().empty();
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runSoak(int argc, char **argv)
 {
     int exitCode = exitOk;
     const auto options = readOptions(argc, argv, exitCode);
@@ -108,3 +107,10 @@
     }
     return exitCode;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("lagoondeck-soak", exitUsage, [&] { return runSoak(argc, argv); });
+}
--- a/main/lagoondeck_standin_main.cpp
+++ b/main/lagoondeck_standin_main.cpp
@@ -1,5 +1,6 @@
 #include "core/errors.h"
 #include "core/os/process_signals.h"
+#include "core/os/program.h"
 #include "standins/event_loop.h"
 #include "standins/instance_service.h"
 #include "standins/store_service.h"
@@ -165,9 +166,7 @@
     loop.run();
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runStandin(int argc, char **argv)
 {
     // Comes first, because a signal may arrive while the topology is read.
     ProcessSignals signals;
@@ -196,3 +195,11 @@
     }
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("lagoondeck-standin", exitCannotServe,
+                      [&] { return runStandin(argc, argv); });
+}
--- a/main/lagoondeckctl_main.cpp
+++ b/main/lagoondeckctl_main.cpp
@@ -1,3 +1,4 @@
+#include "core/os/program.h"
 #include "operator/command_error.h"
 #include "operator/command_line.h"
 #include "operator/commands.h"
@@ -34,10 +35,17 @@
     const bool json = std::ranges::find(arguments, "--json") != arguments.end();
     const auto onError = [json](const lagoondeck::CommandError &error) {
         if (json) {
-            std::cout << lagoondeck::toJson(error).dump(2) << "\n";
+            // Replaces bytes of an argument that are not UTF-8.
+            std::cout << lagoondeck::toJson(error).dump(2, ' ', false,
+                                                        nlohmann::json::error_handler_t::replace)
+                      << "\n";
         } else {
             std::cerr << lagoondeck::toText(error);
         }
     };
-    return static_cast<int>(lagoondeck::runCommand([&] { return run(arguments); }, onError));
+    return lagoondeck::runProgram(
+            "lagoondeckctl", static_cast<int>(lagoondeck::ExitCode::Internal), [&] {
+                return static_cast<int>(
+                        lagoondeck::runCommand([&] { return run(arguments); }, onError));
+            });
 }
--- a/main/lagoondeckd_main.cpp
+++ b/main/lagoondeckd_main.cpp
@@ -3,6 +3,7 @@
 #include "core/json_input.h"
 #include "core/os/heap.h"
 #include "core/os/process_signals.h"
+#include "core/os/program.h"
 #include "core/settings_file.h"
 #include "drivers/edge/gateway_node.h"
 #include "drivers/entry_node.h"
@@ -132,9 +133,7 @@
     return result == RunResult::Graceful ? exitOk : exitInvariantViolated;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runDaemon(int argc, char **argv)
 {
     // Comes first, because a signal may arrive while the settings are read.
     ProcessSignals signals;
@@ -173,3 +172,10 @@
                 return exitCannotServe;
             });
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("lagoondeckd", exitCannotServe, [&] { return runDaemon(argc, argv); });
+}
--- a/tests/drivers/test_bad_requests.cpp
+++ b/tests/drivers/test_bad_requests.cpp
@@ -1,6 +1,7 @@
 #include "core/settings.h"
 #include "drivers/caller_server.h"
 #include "drivers/pending_answers.h"
+#include "drivers/step_guard.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +10,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <array>
 #include <atomic>
+#include <stdexcept>
 
 using namespace lagoondeck;
 
@@ -33,9 +35,10 @@
         hooks.post = [this](EventBody) { ++this->posted; };
         hooks.isReady = [] { return true; };
         hooks.isStopping = [] { return false; };
-        hooks.statusJson = [] { return std::string("{}"); };
+        hooks.statusJson = []() -> std::string { throw std::runtime_error("no status"); };
         hooks.metricsText = [] { return std::string(); };
-        this->server = std::make_unique<CallerServer>(this->settings, this->pending, hooks);
+        this->server =
+                std::make_unique<CallerServer>(this->settings, this->pending, hooks, this->guard);
     }
 
     /// Sends bytes and returns all bytes received until the connection ends.
@@ -65,6 +68,7 @@
     Settings settings;
     PendingAnswers pending;
     std::atomic<int> posted = 0;
+    StepGuard guard {"callers"};
     std::unique_ptr<CallerServer> server;
 };
 
@@ -134,3 +138,12 @@
     CHECK(server.posted == 0);
     CHECK(server.pending.waitingCount() == 0);
 }
+
+// Guards against a connection that ends without an answer because its request could not be handled.
+TEST_CASE("A request whose handling fails is answered with status 500")
+{
+    Server server;
+    const std::string reply = server.exchange("GET /v1/status HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(reply.starts_with("HTTP/1.1 500 "));
+    CHECK(server.guard.failures() == 1);
+}
--- a/tests/drivers/test_instance_list_poller.cpp
+++ b/tests/drivers/test_instance_list_poller.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <atomic>
+#include <stdexcept>
+#include <thread>
 
 using namespace lagoondeck;
 using namespace lagoondeck::testing;
@@ -58,3 +60,17 @@
     }
     CHECK(events.size() == 0);
 }
+
+// Guards against an exception on the poller's thread, which ended the process.
+TEST_CASE("A list that can't be processed ends neither the process nor the poller")
+{
+    FakeService service([&](HTTPServerRequest &, HTTPServerResponse &response) {
+        reply(response, 200, R"({"entries":[{"id":"e-0","peerAddress":"127.0.0.1:1"}]})");
+    });
+    InstanceListPoller poller(service.address(), std::chrono::milliseconds(1),
+                              [](EventBody) { throw std::runtime_error("can't be processed"); });
+    while (poller.calls() < 5) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(poller.stepGuard().failures() >= 1);
+}
--- a/tests/drivers/test_store_client.cpp
+++ b/tests/drivers/test_store_client.cpp
@@ -10,6 +10,8 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
 
 using namespace lagoondeck;
 using namespace lagoondeck::testing;
@@ -221,3 +223,29 @@
     }
     CHECK(std::chrono::steady_clock::now() - started < std::chrono::minutes(1));
 }
+
+// Guards against an exception on a worker's thread, which ended the process.
+TEST_CASE("A reply that can't be processed ends neither the process nor the worker")
+{
+    FakeService service([&](HTTPServerRequest &, HTTPServerResponse &response) {
+        reply(response, 200, R"({"header":{"revision":"9"}})");
+    });
+    EventCollector events;
+    std::atomic<int> failing = 8;
+    StoreClient client(service.address(), [&](EventBody event) {
+        if (--failing >= 0) {
+            throw std::runtime_error("can't be processed");
+        }
+        events.add(std::move(event));
+    });
+    // More than there are workers.
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        client.execute(rangeOf(id));
+    }
+    while (failing > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    client.execute(rangeOf(9));
+    CHECK(events.waitForStoreReply(0).operation == StoreOpId {9});
+    CHECK(client.stepGuard().failures() == 8);
+}
--- a/tests/drivers_edge/gateway_node_fixture.h
+++ b/tests/drivers_edge/gateway_node_fixture.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,7 +81,8 @@
         this->settings.seed = 5;
         this->thread = std::thread([this] {
             GatewayNode node(this->settings);
-            this->runSucceeded = static_cast<bool>(node.run(this->signals, [] {}));
+            this->runSucceeded =
+                    static_cast<bool>(node.run(this->signals, [this] { this->reload(); }));
         });
         for (int i = 0; i < 200 && this->readyStatus() != 200; ++i) {
             std::this_thread::sleep_for(10ms);
@@ -181,6 +183,8 @@
     std::optional<ServedLoop> served;
     GatewaySettings settings;
     ProcessSignals signals;
+    /// Called for each SIGHUP.
+    std::function<void()> reload = [] {};
     std::thread thread;
     bool runSucceeded = false;
 };
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -2,6 +2,8 @@
 #include "raw_caller.h"
 
 #include <algorithm>
+#include <atomic>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -230,3 +232,28 @@
         CHECK((view.status == 200 || (i > 0 && view.status == 503)));
     }
 }
+
+// Guards against an exception in the event loop, which ended the process and lost all requests in
+// flight.
+TEST_CASE("an exception in the event loop ends neither the process nor the requests in flight")
+{
+    GatewayFixture fixture;
+    std::atomic<int> reloads = 0;
+    fixture.reload = [&] {
+        ++reloads;
+        throw std::runtime_error("can't be read");
+    };
+    for (const auto &target : fixture.targets) {
+        target->setDelay(300ms);
+    }
+    CallReply reply;
+    std::thread caller([&] { reply = fixture.call("/one/slow", "s1"); });
+    std::this_thread::sleep_for(100ms);
+    fixture.sendSignal(SIGHUP);
+    caller.join();
+    CHECK(reply.status() == 200);
+    CHECK(reloads == 1);
+    TestClient control(fixture.settings.controlAddress);
+    const std::string metrics = control.call("GET", "/metrics").body;
+    CHECK(metrics.find("lagoondeck_failed_steps_total{thread=\"main\"} 1") != std::string::npos);
+}
--- a/tests/drivers_peer/test_peer_socket.cpp
+++ b/tests/drivers_peer/test_peer_socket.cpp
@@ -8,6 +8,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <stdexcept>
 #include <zmq.hpp>
 
 using namespace lagoondeck;
@@ -219,3 +220,30 @@
         CHECK(collector.waitFor(2 * i + 2));
     }
 }
+
+// Guards against an exception on the thread of the peer messages, which ended the process and lost
+// all requests in flight.
+TEST_CASE("A message that can't be processed ends neither the process nor the thread")
+{
+    MessageCollector collector;
+    std::atomic<int> calls = 0;
+    std::atomic<int> logged = 0;
+    PeerSocket receiver(
+            "127.0.0.1:0", "",
+            [&, sink = collector.sink()](EventBody body) {
+                if (++calls == 1) {
+                    throw std::runtime_error("can't be processed");
+                }
+                sink(std::move(body));
+            },
+            [&](const WriteLog &log) { logged += log.event == LogEvent::StepFailed ? 1 : 0; });
+    PeerSocket sender("127.0.0.1:0", "", [](EventBody) {});
+    REQUIRE(canStart(receiver));
+    REQUIRE(canStart(sender));
+    for (int i = 0; i < 3; ++i) {
+        sender.send(receiver.boundAddress(), messageFrom("entry-1"));
+    }
+    CHECK(collector.waitFor(2));
+    CHECK(receiver.stepGuard().failures() == 1);
+    CHECK(logged == 1);
+}
