Count the fields of an unfinished header as they come

Ordinary requests that ran ended with a closed connection.

Cause: the parser stores each field as soon as its line is there, but the fields were counted only once the header was complete, so that the budget of the callers' bytes saw a tenth of what was used.

Change: the lines of an unfinished header count like fields, also for the limit on their number.

--- a/drivers/edge/http_reader.cpp
+++ b/drivers/edge/http_reader.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <iterator>
@@ -194,6 +195,11 @@
     error_code error;
     const std::size_t used = state.visit(
             [&](auto &message) { return message.put(boost::asio::buffer(buffer), error); });
+    if (!state.headerChecked) {
+        // The parser stores each field as soon as it has read its line.
+        this->fieldCount += static_cast<std::size_t>(std::count(
+                buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(used), '\n'));
+    }
     buffer.erase(0, used);
     this->usedBytes += used;
     if (error && error != http::error::need_more) {
@@ -215,8 +221,9 @@
 ReadState HttpReader::checkHeader()
 {
     Parser &state = *this->parser;
-    // The parser's own limit applies to the bytes of one call only.
-    if (this->usedBytes > this->headerBytes) {
+    // The parser's own limit applies to the bytes of one call only. The lines are counted without
+    // the first and the last one, which are not fields.
+    if (this->usedBytes > this->headerBytes || this->fieldCount > this->limits.headerFields + 2) {
         return ReadState::HeaderTooLong;
     }
     if (!state.visit([](auto &message) { return message.is_header_done(); })) {
--- a/drivers/edge/http_reader.h
+++ b/drivers/edge/http_reader.h
@@ -72,6 +72,7 @@
     std::unique_ptr<Parser> parser;
     /// How many bytes of the message the parser has used.
     std::size_t usedBytes = 0;
+    /// While the header is incomplete, the number of its lines.
     std::size_t fieldCount = 0;
     std::size_t interimReplies = 0;
     bool started = false;
--- a/tests/drivers_edge/test_message_limits.cpp
+++ b/tests/drivers_edge/test_message_limits.cpp
@@ -119,3 +119,26 @@
     CHECK(reader.heldBytes() == 0);
     CHECK_FALSE(reader.hasStarted());
 }
+
+// Guards against unfinished headers of many short fields, which take many times the memory of their
+// bytes while none of it is counted.
+TEST_CASE("an unfinished header counts its fields as they come")
+{
+    HttpReader reader(HttpReader::Kind::Request, 65536, 65536);
+    // The parser stores what it can read at once; later bytes stay in the buffer.
+    std::string buffer = "GET /p HTTP/1.1\r\n" + repeat("a:\r\n", 1000);
+    REQUIRE(reader.read(buffer) == ReadState::Incomplete);
+    CHECK(reader.heldBytes() + buffer.size() > 4000 + 1000 * 100);
+}
+
+// Guards against a limit on the number of fields that is checked only when all of them are stored.
+TEST_CASE("an unfinished header with too many fields is refused")
+{
+    MessageLimits limits;
+    limits.headerFields = 3;
+    const std::string head = "GET /p HTTP/1.1\r\n";
+    CHECK(read(head + repeat("a:b\r\n", 3), 4, limits) == ReadState::Incomplete);
+    CHECK(read(head + repeat("a:b\r\n", 3) + "\r\n", 4, limits) == ReadState::Complete);
+    CHECK(read(head + repeat("a:b\r\n", 4) + "\r\n", 4, limits) == ReadState::HeaderTooLong);
+    CHECK(read(head + repeat("a:b\r\n", 6), 512, limits) == ReadState::HeaderTooLong);
+}
--- a/tests/untrusted_callers/test_untrusted_callers.cpp
+++ b/tests/untrusted_callers/test_untrusted_callers.cpp
@@ -95,6 +95,20 @@
     });
 }
 
+// Guards against the same fields in headers that don't end: 120 callers send 7 MB, and the fields
+// take many times as much.
+TEST_CASE("unfinished headers with very many small fields don't fill the memory")
+{
+    DaemonFixture fixture;
+    checkWithCrowd(fixture, 120, [](CrowdCaller &caller) {
+        std::string request = requestLine("/one/x", 0);
+        while (request.size() + 8 < maxHeaderBytes) {
+            request += "a:\r\n";
+        }
+        caller.send(request);
+    });
+}
+
 // Guards against requests that together fill the memory although each is within the limits: 100
 // callers send 1 MB that waits for an answer, and another 1 MB behind it.
 TEST_CASE("pipelined requests whose answers are not read don't fill the memory")
