Evict unfinished requests before those that targets run

Cause: the connections that hold most were closed first, and a request that waits for its answer counts twice.

Change: such connections are closed last while all of them hold at most half of what callers hold. Beyond that they compete by size as before, so that a crowd of waiting requests can't keep new ones out.

The new test of the load fails before.

--- a/logic/workload/connection_eviction.cpp
+++ b/logic/workload/connection_eviction.cpp
@@ -38,6 +38,18 @@
     });
 }
 
+/// Returns true if the connections in a phase hold at most half of what all hold.
+bool holdAtMostHalf(const std::vector<ConnectionLoad> &loads, ConnectionLoad::Phase phase)
+{
+    std::size_t inPhase = 0;
+    std::size_t all = 0;
+    for (const ConnectionLoad &load : loads) {
+        inPhase += load.phase == phase ? load.heldBytes : 0;
+        all += load.heldBytes;
+    }
+    return inPhase <= all / 2;
+}
+
 /// Returns the order in which connections are replaced, or -1 for one that is kept.
 int replacementRank(const ConnectionLoad &load)
 {
@@ -64,6 +76,7 @@
     for (const ConnectionLoad &load : loads) {
         bytesByPeer[load.peer] += static_cast<double>(load.heldBytes);
     }
+    const bool sparesWaiting = holdAtMostHalf(loads, ConnectionLoad::Phase::Waiting);
     std::vector<Candidate> candidates;
     for (const ConnectionLoad &load : loads) {
         if (load.heldBytes == 0) {
@@ -72,7 +85,8 @@
         const bool peerMustAct = load.phase != ConnectionLoad::Phase::Waiting;
         const double slowness = 1.0 + (peerMustAct ? toSeconds(load.quietFor) : 0.0);
         const double size = std::sqrt(static_cast<double>(load.heldBytes) * bytesByPeer[load.peer]);
-        candidates.push_back({load.id, load.heldBytes, size * slowness});
+        const int rank = sparesWaiting && !peerMustAct ? 1 : 0;
+        candidates.push_back({load.id, load.heldBytes, size * slowness, rank});
     }
     sortByWeight(candidates);
     std::vector<std::uint64_t> chosen;
--- a/logic/workload/connection_eviction.h
+++ b/logic/workload/connection_eviction.h
@@ -18,6 +18,10 @@
     ///
     /// What a connection holds and what its caller holds on all connections count alike, so that a
     /// caller gains nothing by spreading its bytes over many connections.
+    ///
+    /// Connections whose requests wait for their answers come last, because targets already run
+    /// these, unless all of them together hold more than half. Otherwise callers could fill the
+    /// memory with such requests and keep everyone else out.
     static std::vector<std::uint64_t> chooseHolders(const std::vector<ConnectionLoad> &loads,
                                                     std::size_t excessBytes);
 
--- a/tests/logic/workload/test_connection_eviction.cpp
+++ b/tests/logic/workload/test_connection_eviction.cpp
@@ -51,6 +51,36 @@
     CHECK(ConnectionEviction::chooseHolders(loads, 1) == Ids {2});
 }
 
+// Load: many callers outside of the limits send the beginning of a body each, while a few ordinary
+// ones wait for the answers to larger requests. Guards against closing the latter, which a target
+// already runs.
+TEST_CASE("requests that wait for their answers are closed after unfinished ones")
+{
+    std::vector<ConnectionLoad> loads;
+    for (std::uint64_t id = 1; id <= 16; ++id) {
+        loads.push_back({id, "ordinary" + std::to_string(id), 400 * kilobyte, Phase::Waiting, 1s});
+    }
+    for (std::uint64_t id = 17; id <= 2016; ++id) {
+        loads.push_back({id, "crowd" + std::to_string(id), 40 * kilobyte, Phase::Receiving, 0s});
+    }
+    const Ids chosen = ConnectionEviction::chooseHolders(loads, 40'000 * kilobyte);
+    CHECK(chosen.size() == 1000);
+    CHECK(std::ranges::none_of(chosen, [](std::uint64_t id) { return id <= 16; }));
+}
+
+// Load: a crowd sends complete requests that wait for long. Guards against callers that fill the
+// memory with such requests, so that every new request is given up in their place.
+TEST_CASE("requests that wait for their answers are not spared beyond half of the memory")
+{
+    std::vector<ConnectionLoad> loads {{1, "ordinary", 4 * kilobyte, Phase::Receiving, 0s}};
+    for (std::uint64_t id = 2; id <= 101; ++id) {
+        loads.push_back({id, "crowd" + std::to_string(id), 500 * kilobyte, Phase::Waiting, 9s});
+    }
+    const Ids chosen = ConnectionEviction::chooseHolders(loads, 1000 * kilobyte);
+    CHECK(chosen.size() == 2);
+    CHECK(std::ranges::count(chosen, 1) == 0);
+}
+
 // Guards against a caller that spreads what it holds over many connections.
 TEST_CASE("many small connections of one caller are closed before a larger one of another caller")
 {
