Read a bounded number of a connection's requests per loop iteration

Cause: a connection handled all requests that it had buffered before the loop turned to the next one, and requests that are answered at once were not bounded in number.

Change: a connection reads 16 requests in an iteration. What is left follows in the next one, after all other sockets were served.

--- a/drivers/edge/edge_loop.cpp
+++ b/drivers/edge/edge_loop.cpp
@@ -25,27 +25,41 @@
     }
 }
 
+void EdgeLoop::callNext(std::weak_ptr<void> owner, std::function<void()> function)
+{
+    this->nextCalls.push_back({std::move(owner), std::move(function)});
+}
+
 void EdgeLoop::poll(Duration wait)
 {
     this->toDelete.clear();
+    const std::vector<NextCall> calls = std::exchange(this->nextCalls, {});
     // Rounded up, because the poll set truncates to whole milliseconds: a wait of less than one
     // millisecond would become a busy loop.
-    const Duration rounded = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    const Duration rounded =
+            calls.empty() ? std::chrono::ceil<std::chrono::milliseconds>(wait) : Duration(0);
     const Instant calledAt = monotonicNow();
     const auto ready = this->pollSet.poll(Poco::Timespan(rounded.count()));
     this->arrivals.onWaited(calledAt, rounded, monotonicNow());
     ++this->waits;
     std::exception_ptr failure;
+    const auto run = [&failure](const auto &function) {
+        try {
+            function();
+        } catch (...) {
+            failure = failure ? failure : std::current_exception();
+        }
+    };
     for (const auto &[socket, mode] : ready) {
         const auto found = this->handlers.find(socket.impl());
         if (found != this->handlers.end()) {
             // Copied, because the handler may remove itself.
-            const Handler handler = found->second;
-            try {
-                handler(mode);
-            } catch (...) {
-                failure = failure ? failure : std::current_exception();
-            }
+            run([handler = found->second, ready = mode] { handler(ready); });
+        }
+    }
+    for (const NextCall &call : calls) {
+        if (const auto owner = call.owner.lock()) {
+            run(call.function);
         }
     }
     if (failure) {
--- a/drivers/edge/edge_loop.h
+++ b/drivers/edge/edge_loop.h
@@ -27,6 +27,9 @@
     /// Waits for ready sockets, at most for the given time, and calls their handlers. If handlers
     /// throw, the first exception is thrown after all of them were called.
     void poll(Duration wait);
+    /// Calls a function at the end of the next poll(), which then does not wait. It is not called
+    /// if its owner no longer exists.
+    void callNext(std::weak_ptr<void> owner, std::function<void()> function);
     /// Returns when the latest wait for sockets ended.
     Instant wokeAt() const { return this->arrivals.wokeAt(); }
     /// Returns a time after which the data has arrived that is read now.
@@ -42,9 +45,16 @@
     }
 
 private:
+    struct NextCall
+    {
+        std::weak_ptr<void> owner;
+        std::function<void()> function;
+    };
+
     Poco::Net::PollSet pollSet;
     std::unordered_map<Poco::Net::SocketImpl *, Handler> handlers;
     std::vector<std::shared_ptr<void>> toDelete;
+    std::vector<NextCall> nextCalls;
     ArrivalBound arrivals;
     std::uint64_t waits = 0;
 };
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -24,6 +24,9 @@
 constexpr Duration drainTime = std::chrono::seconds(1);
 /// The number of bytes that a peer may send ahead of the answer, in addition to one request body.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+/// Further requests of a connection are read in the next iteration of the loop, so that many small
+/// ones, which are answered at once, don't hold up the other connections.
+constexpr std::uint32_t maxRequestsPerIteration = 16;
 /// The first request of a connection arrives within this time, or its caller has given up.
 constexpr Duration firstRequestWait = std::chrono::seconds(1);
 
@@ -123,6 +126,10 @@
 
 void ServerConnection::readInput()
 {
+    if (this->resumption != nullptr) {
+        // What is buffered comes first.
+        return;
+    }
     const std::size_t bufferedBytes = this->input.size();
     const ReadResult result = this->stream.read(this->input);
     this->inputArrivals.add(this->input.size() - bufferedBytes, this->arrivedAfter());
@@ -131,7 +138,8 @@
         return;
     }
     this->readRequests();
-    if (result == ReadResult::Closed && !this->closing) {
+    // With requests left, the end of the input is read again after them.
+    if (result == ReadResult::Closed && !this->closing && this->resumption == nullptr) {
         this->close();
     }
 }
@@ -160,6 +168,9 @@
     while (!this->answerPending && !this->closing && !this->closed && !this->input.empty()
            && !this->hasUnsentOutput()) {
         if (!this->reader.hasStarted()) {
+            if (!this->mayReadRequest()) {
+                return;
+            }
             this->requestStartedAt = monotonicNow();
             this->requestArrival = this->inputArrivals.first();
         }
@@ -194,6 +205,32 @@
     }
 }
 
+bool ServerConnection::mayReadRequest()
+{
+    if (this->countedAtWait != this->loop.waitCount()) {
+        this->countedAtWait = this->loop.waitCount();
+        this->requestsSinceWait = 0;
+    }
+    if (this->resumption == nullptr && this->requestsSinceWait < maxRequestsPerIteration) {
+        ++this->requestsSinceWait;
+        return true;
+    }
+    if (this->resumption == nullptr) {
+        this->resumption = std::make_shared<std::uint64_t>(this->connectionId);
+        this->loop.callNext(this->resumption, [this] { this->resume(); });
+    }
+    return false;
+}
+
+void ServerConnection::resume()
+{
+    this->resumption.reset();
+    this->readRequests();
+    if (!this->closed) {
+        this->updateHeldBytes();
+    }
+}
+
 void ServerConnection::refuse(int status)
 {
     this->stream.write(this->hooks.refusal(status));
@@ -291,6 +328,7 @@
         return;
     }
     this->stream.close();
+    this->resumption.reset();
     // The object lives on until the handlers have returned.
     std::string().swap(this->input);
     this->reader.clear();
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -94,6 +94,10 @@
     Instant arrivedAfter() const;
     void readRequests();
     void readAvailableRequests();
+    /// Returns false if this iteration of the loop has read enough requests of this connection; the
+    /// next one goes on then.
+    bool mayReadRequest();
+    void resume();
     void refuse(int status);
     /// Closes the connection after the buffered output was sent.
     void closeAfterOutput();
@@ -119,6 +123,11 @@
     Instant establishedAfter {};
     std::uint64_t acceptedAtWait = 0;
     std::uint64_t requestsRead = 0;
+    /// How many requests were read since the loop waited for the time with this number.
+    std::uint64_t countedAtWait = 0;
+    std::uint32_t requestsSinceWait = 0;
+    /// Exists while buffered requests are left for the next iteration of the loop.
+    std::shared_ptr<void> resumption;
     bool answerPending = false;
     bool reading = false;
     bool closed = false;
--- a/tests/drivers_edge/test_http_listener.cpp
+++ b/tests/drivers_edge/test_http_listener.cpp
@@ -6,6 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -76,3 +79,75 @@
     }
     CHECK(hosts == std::vector<std::string> {"127.0.0.1", "127.0.0.1"});
 }
+
+// Load: one caller sends thousands of small requests at once that are answered without any work.
+// Guards against an event loop that serves nobody else until all of them are answered.
+TEST_CASE("many small requests of one caller don't hold up the others")
+{
+    const std::string address = freeAddresses(1).front();
+    EdgeLoop loop;
+    std::size_t answered = 0;
+    std::size_t answeredBeforeOther = 0;
+    ServerConnection::Hooks hooks = answeringHooks();
+    hooks.onRequest = [&](ServerConnection &connection, const HttpMessage &message) {
+        ++answered;
+        if (message.target == "/other") {
+            answeredBeforeOther = answered - 1;
+        }
+        connection.answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, monotonicNow());
+    };
+    HttpListener listener(
+            loop, [] { return CallerLimits {}; }, hooks);
+    REQUIRE(listener.listen(address));
+    RawCaller flood(address);
+    RawCaller other(address);
+    loop.poll(std::chrono::milliseconds(10));
+    constexpr std::size_t count = 2000;
+    std::string requests;
+    for (std::size_t i = 0; i < count; ++i) {
+        requests += "GET /f HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    REQUIRE(flood.send(requests));
+    for (int i = 0; i < 100 && answered == 0; ++i) {
+        loop.poll(std::chrono::milliseconds(10));
+    }
+    REQUIRE(other.send("GET /other HTTP/1.1\r\nHost: h\r\n\r\n"));
+    std::size_t mostPerIteration = answered;
+    for (int i = 0; i < 10000 && answered < count + 1; ++i) {
+        const std::size_t before = answered;
+        loop.poll(std::chrono::milliseconds(10));
+        mostPerIteration = std::max(mostPerIteration, answered - before);
+    }
+    CHECK(answered == count + 1);
+    CHECK(answeredBeforeOther > 0);
+    CHECK(answeredBeforeOther < count / 2);
+    CHECK(mostPerIteration < count / 10);
+}
+
+// Guards against requests that are forgotten because their caller has sent its last one.
+TEST_CASE("many requests are answered although their caller has finished sending")
+{
+    const std::string address = freeAddresses(1).front();
+    EdgeLoop loop;
+    std::size_t answered = 0;
+    ServerConnection::Hooks hooks = answeringHooks();
+    hooks.onRequest = [&](ServerConnection &connection, const HttpMessage &) {
+        ++answered;
+        connection.answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, monotonicNow());
+    };
+    HttpListener listener(
+            loop, [] { return CallerLimits {}; }, hooks);
+    REQUIRE(listener.listen(address));
+    Poco::Net::StreamSocket socket {Poco::Net::SocketAddress(address)};
+    std::string requests;
+    for (int i = 0; i < 500; ++i) {
+        requests += "GET /f HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    socket.sendBytes(requests.data(), static_cast<int>(requests.size()));
+    socket.shutdownSend();
+    for (int i = 0; i < 1000 && (answered < 500 || listener.size() > 0); ++i) {
+        loop.poll(std::chrono::milliseconds(10));
+    }
+    CHECK(answered == 500);
+    CHECK(listener.size() == 0);
+}
