Read each request with the limits in force when it begins

No client tries again after 413.

Cause: a connection took the limits when it was accepted; until a configuration is known they are defaults. A later version that raised them did not hold on open connections either.

Change: the limits are taken anew for each request. While no configuration is known, a request beyond the defaults is answered 503 instead.

The new test fails with the renewal taken out.

--- a/drivers/edge/gateway_node.cpp
+++ b/drivers/edge/gateway_node.cpp
@@ -27,6 +27,8 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
+constexpr int statusBodyTooLong = 413;
+constexpr int statusHeaderTooLong = 431;
 constexpr int statusInternalError = 500;
 constexpr int statusUnavailable = 503;
 constexpr Duration maxPollTimeout = std::chrono::milliseconds(100);
@@ -49,11 +51,16 @@
 std::string makeRefusal(int status)
 {
     return wire::writePlainReply(status,
-                                 status == statusUnavailable ? "no memory is left for the request"
+                                 status == statusUnavailable ? "the request can't be taken now"
                                                              : "the request can't be read",
                                  true);
 }
 
+bool exceedsLimits(int status)
+{
+    return status == statusBodyTooLong || status == statusHeaderTooLong;
+}
+
 } // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings)
@@ -142,7 +149,11 @@
         this->onCallerRequest(connection, std::move(message));
     };
     hooks.onPeerLeft = [this](ServerConnection &connection) { this->onCallerLeft(connection); };
-    hooks.refusal = makeRefusal;
+    hooks.refusal = [this](int status) {
+        // The limits of the configuration may be higher than the defaults.
+        const bool mayFit = exceedsLimits(status) && !this->gateway.knowsConfig();
+        return makeRefusal(mayFit ? statusUnavailable : status);
+    };
     this->callerListener = std::make_unique<HttpListener>(
             this->loop,
             [this] {
--- a/drivers/edge/http_listener.cpp
+++ b/drivers/edge/http_listener.cpp
@@ -40,6 +40,7 @@
     : loop(loop), limits(std::move(limits)), hooks(std::move(hooks)),
       maxConnections(bounds.connections), held(bounds.heldBytes)
 {
+    this->hooks.limits = [this] { return this->limits(); };
     this->hooks.onOverBudget = [this] { this->evictHolders(); };
     this->hooks.onClosed = [this](ServerConnection &connection) {
         const auto found = this->connections.find(connection.id());
--- a/drivers/edge/http_reader.cpp
+++ b/drivers/edge/http_reader.cpp
@@ -109,16 +109,25 @@
 
 HttpReader::HttpReader(Kind kind, std::size_t headerBytes, std::size_t bodyBytes,
                        const MessageLimits &message)
-    : kind(kind), headerBytes(headerBytes), bodyBytes(bodyBytes), limits(message)
+    : kind(kind)
 {
+    this->setLimits(headerBytes, bodyBytes, message);
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::setLimits(std::size_t headerBytes, std::size_t bodyBytes,
+                           const MessageLimits &message)
+{
+    this->headerBytes = headerBytes;
+    this->bodyBytes = bodyBytes;
+    this->limits = message;
     for (std::size_t *limit : {&this->limits.requestLineBytes, &this->limits.headerFields,
                                &this->limits.chunkOverheadBytes}) {
         *limit = *limit == 0 ? headerBytes : *limit;
     }
 }
 
-HttpReader::~HttpReader() = default;
-
 void HttpReader::clear()
 {
     this->parser.reset();
--- a/drivers/edge/http_reader.h
+++ b/drivers/edge/http_reader.h
@@ -29,6 +29,8 @@
                const MessageLimits &message = {});
     ~HttpReader();
 
+    /// Sets the limits of the next messages. Must not be called while one is read.
+    void setLimits(std::size_t headerBytes, std::size_t bodyBytes, const MessageLimits &message);
     /// Parses bytes from the start of the buffer and removes them. Call expectNoBody() before
     /// reading the reply to a HEAD request.
     ReadState read(std::string &buffer);
--- a/drivers/edge/server_connection.cpp
+++ b/drivers/edge/server_connection.cpp
@@ -171,6 +171,7 @@
             if (!this->mayReadRequest()) {
                 return;
             }
+            this->renewLimits();
             this->requestStartedAt = monotonicNow();
             this->requestArrival = this->inputArrivals.first();
         }
@@ -205,6 +206,15 @@
     }
 }
 
+void ServerConnection::renewLimits()
+{
+    const Duration idleTimeout = this->limits.idleTimeout;
+    this->limits = this->hooks.limits();
+    // Never decreases on an open connection, because the peer may rely on the longer one.
+    this->limits.idleTimeout = std::max(this->limits.idleTimeout, idleTimeout);
+    this->reader.setLimits(this->limits.headerBytes, this->limits.bodyBytes, this->limits.message);
+}
+
 bool ServerConnection::mayReadRequest()
 {
     if (this->countedAtWait != this->loop.waitCount()) {
--- a/drivers/edge/server_connection.h
+++ b/drivers/edge/server_connection.h
@@ -31,6 +31,8 @@
         /// Returns the encoded answer to a request that is not run: a malformed, too long or too
         /// slow one, or one for which there is no memory.
         std::function<std::string(int status)> refusal;
+        /// Returns the limits of requests that begin now. Set by the listener.
+        std::function<CallerLimits()> limits;
         /// Called when all connections together hold more than they may. Some must be evicted, be
         /// it this one. Set by the listener.
         std::function<void()> onOverBudget;
@@ -94,6 +96,8 @@
     Instant arrivedAfter() const;
     void readRequests();
     void readAvailableRequests();
+    /// Applies the limits in force now to the request that begins.
+    void renewLimits();
     /// Returns false if this iteration of the loop has read enough requests of this connection; the
     /// next one goes on then.
     bool mayReadRequest();
--- a/logic/gateway/gateway.h
+++ b/logic/gateway/gateway.h
@@ -98,6 +98,8 @@
     const Shutdown &shutdownSchedule() const { return this->shutdown; }
     /// Returns what callers may send: the defaults until a configuration is known.
     CallerLimits limits() const;
+    /// Returns false until a configuration has been read.
+    bool knowsConfig() const { return this->storeSync.routes() != nullptr; }
     GatewayStatus status(Instant now) const;
     /// The registered members by id, and a number that increases whenever they change.
     const std::map<std::string, MemberRecord> &members() const { return this->storeSync.members(); }
--- a/tests/drivers_edge/test_http_listener.cpp
+++ b/tests/drivers_edge/test_http_listener.cpp
@@ -151,3 +151,44 @@
     CHECK(answered == 500);
     CHECK(listener.size() == 0);
 }
+
+// Guards against a connection that keeps the limits of the moment at which it was accepted: those
+// of an instance that knew no configuration yet, or of an older version.
+TEST_CASE("a request on a kept connection is read with the limits that are in force when it begins")
+{
+    const std::string address = freeAddresses(1).front();
+    EdgeLoop loop;
+    CallerLimits limits;
+    limits.bodyBytes = 100;
+    limits.headerBytes = 200;
+    std::vector<std::size_t> bodies;
+    std::vector<int> refusals;
+    ServerConnection::Hooks hooks = answeringHooks();
+    hooks.onRequest = [&](ServerConnection &connection, const HttpMessage &message) {
+        bodies.push_back(message.body.size());
+        connection.answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, monotonicNow());
+    };
+    hooks.refusal = [&](int status) {
+        refusals.push_back(status);
+        return std::string();
+    };
+    HttpListener listener(
+            loop, [&] { return limits; }, hooks);
+    REQUIRE(listener.listen(address));
+    RawCaller caller(address);
+    const auto post = [&](std::size_t bytes) {
+        const std::size_t handled = bodies.size() + refusals.size();
+        REQUIRE(caller.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                            + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x')));
+        for (int i = 0; i < 100 && bodies.size() + refusals.size() == handled; ++i) {
+            loop.poll(std::chrono::milliseconds(10));
+        }
+    };
+    post(80);
+    limits.bodyBytes = 5000;
+    post(4000);
+    CHECK(bodies == std::vector<std::size_t> {80, 4000});
+    limits.bodyBytes = 1000;
+    post(4000);
+    CHECK(refusals == std::vector<int> {413});
+}
