Refuse requests with a transfer coding other than chunked

Cause: the parser takes such a request for one without a body, so that the body was read as the next request.

Change: such a request is malformed; its connection is closed.

The new test fails before.

--- a/drivers/edge/http_reader.cpp
+++ b/drivers/edge/http_reader.cpp
@@ -49,6 +49,17 @@
     return bytes;
 }
 
+/// Returns true if the end of the body follows from the header: with another transfer coding than
+/// chunked the body would end where the parser finds no body at all, and its bytes would be read
+/// as the next request.
+template <typename Message>
+bool hasKnownBodyEnd(const Message &message)
+{
+    const auto [first, last] = message.equal_range(http::field::transfer_encoding);
+    return first == last
+            || (std::next(first) == last && boost::beast::iequals(first->value(), "chunked"));
+}
+
 /// Returns true if a target may reply with this status line, be it an interim or a final one.
 template <typename Message>
 bool isValidStatusLine(const Message &message)
@@ -245,6 +256,9 @@
     }
     if (state.request) {
         const auto &request = state.request->get();
+        if (!hasKnownBodyEnd(request)) {
+            return ReadState::Malformed;
+        }
         const std::size_t lineBytes = request.method_string().size() + request.target().size()
                 + std::string_view("  HTTP/1.1").size();
         if (lineBytes > this->limits.requestLineBytes) {
--- a/tests/drivers_edge/test_http_reader.cpp
+++ b/tests/drivers_edge/test_http_reader.cpp
@@ -86,6 +86,22 @@
     }
 }
 
+// Guards against a request that is hidden in the body of another one: with an unknown transfer
+// coding the end of the body is not known, and its bytes were read as the next request.
+TEST_CASE("a request with another transfer coding than chunked is refused")
+{
+    for (const std::string coding :
+         {"gzip", "identity", "chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1",
+          "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked", ""}) {
+        INFO(coding);
+        CHECK(readAll("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding
+                      + "\r\n\r\nPOST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+              == ReadState::Malformed);
+    }
+    CHECK(readAll("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n")
+          == ReadState::Complete);
+}
+
 TEST_CASE("header and body limits are enforced before all bytes have arrived")
 {
     CHECK(readAll("GET /" + std::string(2 * headerLimit, 'x') + " HTTP/1.1\r\n")
