--- a/tests/drivers/test_bad_requests.cpp
+++ b/tests/drivers/test_bad_requests.cpp
@@ -2,6 +2,7 @@
 #include "drivers/caller_server.h"
 #include "drivers/pending_answers.h"
 #include "drivers/step_guard.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,7 +11,6 @@
 #include <Poco/Net/StreamSocket.h>
 #include <array>
 #include <atomic>
-#include <stdexcept>
 
 using namespace lagoondeck;
 
@@ -35,7 +35,7 @@
         hooks.post = [this](EventBody) { ++this->posted; };
         hooks.isReady = [] { return true; };
         hooks.isStopping = [] { return false; };
-        hooks.statusJson = []() -> std::string { throw std::runtime_error("no status"); };
+        hooks.statusJson = []() -> std::string { throw TestFailure("no status"); };
         hooks.metricsText = [] { return std::string(); };
         this->server =
                 std::make_unique<CallerServer>(this->settings, this->pending, hooks, this->guard);
--- a/tests/drivers/test_instance_list_poller.cpp
+++ b/tests/drivers/test_instance_list_poller.cpp
@@ -1,13 +1,13 @@
 #include "drivers/instance_list_poller.h"
 #include "event_collector.h"
 #include "tests/support/fake_service.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <atomic>
-#include <stdexcept>
 #include <thread>
 
 using namespace lagoondeck;
@@ -68,7 +68,7 @@
         reply(response, 200, R"({"entries":[{"id":"e-0","peerAddress":"127.0.0.1:1"}]})");
     });
     InstanceListPoller poller(service.address(), std::chrono::milliseconds(1),
-                              [](EventBody) { throw std::runtime_error("can't be processed"); });
+                              [](EventBody) { throw TestFailure("can't be processed"); });
     while (poller.calls() < 5) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
--- a/tests/drivers/test_step_guard.cpp
+++ b/tests/drivers/test_step_guard.cpp
@@ -1,8 +1,8 @@
 #include "drivers/step_guard.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
-#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -14,7 +14,7 @@
     StepGuard guard("worker");
     bool continued = false;
     std::thread thread([&] {
-        CHECK_FALSE(guard.run([] { throw std::runtime_error("broken"); }));
+        CHECK_FALSE(guard.run([] { throw TestFailure("broken"); }));
         CHECK_FALSE(guard.run([] { throw 5; }));
         continued = guard.run([] {});
     });
@@ -29,7 +29,7 @@
     std::vector<WriteLog> lines;
     StepGuard guard("worker", [&](const WriteLog &line) { lines.push_back(line); });
     for (int i = 0; i < 100; ++i) {
-        guard.run([] { throw std::runtime_error("broken"); });
+        guard.run([] { throw TestFailure("broken"); });
     }
     CHECK(guard.failures() == 100);
     REQUIRE_FALSE(lines.empty());
@@ -43,7 +43,7 @@
 // Guards against a log sink whose failure ends the process instead of the step's.
 TEST_CASE("a log sink that throws does not end the process")
 {
-    StepGuard guard("worker", [](const WriteLog &) { throw std::runtime_error("disk full"); });
-    CHECK_FALSE(guard.run([] { throw std::runtime_error("broken"); }));
+    StepGuard guard("worker", [](const WriteLog &) { throw TestFailure("disk full"); });
+    CHECK_FALSE(guard.run([] { throw TestFailure("broken"); }));
     CHECK(guard.failures() == 1);
 }
--- a/tests/drivers/test_store_client.cpp
+++ b/tests/drivers/test_store_client.cpp
@@ -1,6 +1,7 @@
 #include "drivers/store_client.h"
 #include "event_collector.h"
 #include "tests/support/fake_service.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,7 +11,6 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <thread>
 
 using namespace lagoondeck;
@@ -234,7 +234,7 @@
     std::atomic<int> failing = 8;
     StoreClient client(service.address(), [&](EventBody event) {
         if (--failing >= 0) {
-            throw std::runtime_error("can't be processed");
+            throw TestFailure("can't be processed");
         }
         events.add(std::move(event));
     });
--- a/tests/drivers_edge/test_edge_loop.cpp
+++ b/tests/drivers_edge/test_edge_loop.cpp
@@ -1,4 +1,5 @@
 #include "drivers/edge/edge_loop.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +7,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <array>
 #include <chrono>
-#include <stdexcept>
 
 using namespace lagoondeck;
 using Poco::Net::DatagramSocket;
@@ -24,11 +24,11 @@
         sockets[i].sendBytes("x", 1);
         loop.add(sockets[i], Poco::Net::PollSet::POLL_READ, [&calls, i](int) {
             ++calls[i];
-            throw std::runtime_error("broken");
+            throw TestFailure("broken");
         });
     }
     for (int round = 1; round <= 3; ++round) {
-        CHECK_THROWS_AS(loop.poll(std::chrono::seconds(5)), std::runtime_error);
+        CHECK_THROWS_AS(loop.poll(std::chrono::seconds(5)), TestFailure);
         CHECK(calls == std::array<int, 3> {round, round, round});
     }
 }
--- a/tests/drivers_edge/test_gateway_node.cpp
+++ b/tests/drivers_edge/test_gateway_node.cpp
@@ -1,9 +1,9 @@
 #include "gateway_node_fixture.h"
 #include "raw_caller.h"
+#include "tests/support/test_failure.h"
 
 #include <algorithm>
 #include <atomic>
-#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -241,7 +241,7 @@
     std::atomic<int> reloads = 0;
     fixture.reload = [&] {
         ++reloads;
-        throw std::runtime_error("can't be read");
+        throw TestFailure("can't be read");
     };
     for (const auto &target : fixture.targets) {
         target->setDelay(300ms);
--- a/tests/drivers_peer/test_peer_socket.cpp
+++ b/tests/drivers_peer/test_peer_socket.cpp
@@ -1,6 +1,7 @@
 #include "drivers/peer_errors.h"
 #include "drivers/peer_socket.h"
 #include "proto/peer.pb.h"
+#include "tests/support/test_failure.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,7 +9,6 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <condition_variable>
 #include <mutex>
-#include <stdexcept>
 #include <zmq.hpp>
 
 using namespace lagoondeck;
@@ -232,7 +232,7 @@
             "127.0.0.1:0", "",
             [&, sink = collector.sink()](EventBody body) {
                 if (++calls == 1) {
-                    throw std::runtime_error("can't be processed");
+                    throw TestFailure("can't be processed");
                 }
                 sink(std::move(body));
             },
