--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -41,15 +41,25 @@
     return address;
 }
 
+/// Returns a free port below the range from which the system takes the ports of clients.
 int freePort()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof address;
-    bind(descriptor, reinterpret_cast<sockaddr *>(&address), size);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
+    constexpr int first = 20000;
+    constexpr int count = 12000;
+    static std::set<int> taken;
+    for (int tries = 0; tries < 1000; ++tries) {
+        const int port = first + static_cast<int>(chance() * (count - 1));
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree =
+                bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(descriptor);
+        if (isFree && taken.insert(port).second) {
+            return port;
+        }
+    }
+    std::puts("no free port");
+    std::exit(2);
 }
 
 constexpr char base64Digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -730,6 +740,23 @@
     record("start " + this->nodeName);
 }
 
+void startAll(const std::vector<std::unique_ptr<Node>> &nodes)
+{
+    for (const auto &node : nodes) {
+        node->start();
+    }
+    for (const auto &node : nodes) {
+        if (!node->waitUntilReady(15.0)) {
+            std::printf("%s is not ready\n", node->name().c_str());
+            std::fflush(stdout);
+            for (const auto &other : nodes) {
+                other->stop();
+            }
+            std::_Exit(2);
+        }
+    }
+}
+
 bool Node::waitUntilReady(double seconds)
 {
     for (const double until = now() + seconds; now() < until; sleepFor(0.05)) {
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -233,6 +233,9 @@
     pid_t pid = -1;
 };
 
+/// Starts the processes and waits until all are ready. Ends the program with 2 if one is not.
+void startAll(const std::vector<std::unique_ptr<Node>> &nodes);
+
 struct Answer
 {
     /// 0 if the connection ended without a complete answer.
