--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -724,13 +724,15 @@
     this->stop();
 }
 
-void Node::start()
+void Node::start(int output)
 {
     this->pid = fork();
     if (this->pid == 0) {
         // The process ends with this program, whatever ends it.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int log = open(this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        const int log = output >= 0
+                ? output
+                : open(this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execl("target/bin/lagoondeckd", "target/bin/lagoondeckd", "--settings",
@@ -740,6 +742,35 @@
     record("start " + this->nodeName);
 }
 
+LogReader::LogReader()
+{
+    if (pipe2(this->ends, O_CLOEXEC) != 0) {
+        std::perror("pipe");
+        std::exit(2);
+    }
+    this->pid = fork();
+    if (this->pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        close(this->ends[1]);
+        char bytes[4096];
+        while (::read(this->ends[0], bytes, sizeof bytes) > 0) { }
+        _exit(0);
+    }
+    close(this->ends[0]);
+}
+
+LogReader::~LogReader()
+{
+    close(this->ends[1]);
+    this->signal(SIGKILL);
+    waitpid(this->pid, nullptr, 0);
+}
+
+void LogReader::signal(int number)
+{
+    kill(this->pid, number);
+}
+
 void startAll(const std::vector<std::unique_ptr<Node>> &nodes)
 {
     for (const auto &node : nodes) {
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -218,7 +218,8 @@
     Node(const std::string &name, const std::string &zone, int storePort,
          const std::string &directory);
     ~Node();
-    void start();
+    /// Both outputs of the process go to the descriptor, or to a file if it is negative.
+    void start(int output = -1);
     bool waitUntilReady(double seconds);
     void stop();
     void signal(int number);
@@ -233,6 +234,20 @@
     pid_t pid = -1;
 };
 
+/// A process that reads what the other end of a pipe gets, like the collector of the logs.
+class LogReader
+{
+public:
+    LogReader();
+    ~LogReader();
+    int descriptor() const { return this->ends[1]; }
+    void signal(int number);
+
+private:
+    int ends[2] {-1, -1};
+    pid_t pid = -1;
+};
+
 /// Starts the processes and waits until all are ready. Ends the program with 2 if one is not.
 void startAll(const std::vector<std::unique_ptr<Node>> &nodes);
 
