--- a/review/15/case.cpp
+++ b/review/15/case.cc
@@ -1,6 +1,6 @@
 // The process that reads the logs stands still, and the settings file changes a few times. The
 // machine must go on answering.
-#include "review/rig-3/rig.h"
+#include "review/rig-3/rig.hh"
 
 #include <cstdio>
 #include <csignal>
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,8 +6,8 @@
 out=build/review-3
 mkdir -p "$out"
 flags=(-std=c++20 -O2 -Wall -Wextra -I. -pthread)
-"${CXX:-g++}" "${flags[@]}" -c review/rig-3/rig.cpp -o "$out/rig.o"
-for source in review/1[1-5]/case.cpp; do
+"${CXX:-g++}" "${flags[@]}" -c review/rig-3/rig.cc -o "$out/rig.o"
+for source in review/1[1-5]/case.cc; do
     [ -e "$source" ] || continue
     name=case-$(basename "$(dirname "$source")")
     "${CXX:-g++}" "${flags[@]}" "$source" "$out/rig.o" -o "$out/$name"
--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cc
@@ -1,4 +1,4 @@
-#include "review/rig-3/rig.h"
+#include "review/rig-3/rig.hh"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
